--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,268 @@
+//! The settings that an instance gets at its start, as JSON. Unknown keys are skipped; what the
+//! decisions need is checked here, so that they can rely on it.
+
+use serde::Deserialize;
+
+use crate::api::Micros;
+
+/// Whether a request may be sent again once it may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+pub enum Repeat {
+    #[serde(rename = "idempotent")]
+    Safe,
+    #[serde(rename = "deduplicated")]
+    Keyed,
+    #[serde(rename = "at_most_once")]
+    Unsafe,
+}
+
+/// The servers that discard repeats of a keyed request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Default)]
+#[serde(rename_all = "lowercase")]
+pub enum Scope {
+    #[default]
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+pub enum ReportHow {
+    #[serde(rename = "piggyback")]
+    Answers,
+    #[serde(rename = "pull")]
+    Probes,
+    #[serde(rename = "silent")]
+    Silent,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Default)]
+pub enum Discovery {
+    #[default]
+    #[serde(rename = "pushed")]
+    Pushed,
+    #[serde(rename = "on_request")]
+    Asked,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Default)]
+#[serde(rename_all = "lowercase")]
+pub enum PowerMeans {
+    #[default]
+    Silent,
+    Nominal,
+    Rough,
+    Live,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Default)]
+#[serde(rename_all = "lowercase")]
+pub enum WorthBy {
+    #[default]
+    Request,
+    Work,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Class {
+    #[serde(default)]
+    pub name: String,
+    pub aim: Micros,
+    pub deadline: Micros,
+    pub repeat: Repeat,
+    #[serde(default)]
+    pub dedup_scope: Scope,
+    #[serde(default)]
+    pub window: Micros,
+    #[serde(default = "one")]
+    pub credit: f64,
+    #[serde(default)]
+    pub late_worth: f64,
+    #[serde(default)]
+    pub aim_stretch: f64,
+    #[serde(default)]
+    pub streaming: bool,
+}
+
+#[derive(Clone, Debug, Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Goal {
+    pub whole: f64,
+    pub worst_class: f64,
+    pub worst_tenant: f64,
+    pub worst_window: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Limits {
+    pub cancel: bool,
+    pub conn_idle: Micros,
+    pub connect_timeout: Micros,
+    pub max_attempts: usize,
+    pub max_retry_after: Micros,
+    pub may_duplicate: bool,
+    pub may_tell: bool,
+    pub probing: bool,
+    pub retry_after: bool,
+    pub streams_per_conn: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            cancel: false,
+            conn_idle: 0,
+            connect_timeout: 0,
+            max_attempts: 1,
+            max_retry_after: 0,
+            may_duplicate: false,
+            may_tell: false,
+            probing: false,
+            retry_after: false,
+            streams_per_conn: 1,
+        }
+    }
+}
+
+#[derive(Clone, Debug, Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Prices {
+    pub connection: f64,
+    pub cross_zone: f64,
+    pub handshake: f64,
+    pub late_fail: f64,
+    pub peer: f64,
+    pub probe: f64,
+    pub waste: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Report {
+    #[serde(default)]
+    pub columns: Vec<String>,
+    pub how: ReportHow,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Rules {
+    pub answer_slack: Micros,
+    pub cold: Micros,
+    pub cold_share: f64,
+    pub fall_multiple: f64,
+    #[serde(default)]
+    pub must_ask_in: Micros,
+    pub stop_sending_within: Micros,
+    pub tip_after: Micros,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Tenant {
+    #[serde(default)]
+    pub quota_per_s: f64,
+    #[serde(default)]
+    pub share: f64,
+}
+
+#[derive(Clone, Debug, Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Clients {
+    pub marks_retry: bool,
+}
+
+#[derive(Clone, Debug, Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+pub struct FamilyInfo {
+    pub warm_keys: bool,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Settings {
+    pub classes: Vec<Class>,
+    #[serde(default)]
+    pub clients: Clients,
+    #[serde(default)]
+    pub discovery: Discovery,
+    #[serde(default)]
+    pub family_info: FamilyInfo,
+    #[serde(default)]
+    pub goal: Goal,
+    pub instances: u32,
+    #[serde(default)]
+    pub limits: Limits,
+    pub me: u32,
+    #[serde(default = "one")]
+    pub over_share_worth: f64,
+    #[serde(default)]
+    pub prices: Prices,
+    pub report: Report,
+    pub rules: Rules,
+    #[serde(default)]
+    pub tenants: Vec<Tenant>,
+    #[serde(default)]
+    pub tick: Micros,
+    #[serde(default)]
+    pub weight_kind: PowerMeans,
+    #[serde(default)]
+    pub worth_by: WorthBy,
+    #[serde(default)]
+    pub zone: u8,
+    #[serde(default)]
+    pub zones: Vec<String>,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+impl Settings {
+    /// Reads and checks the settings. The error names the key and what was expected.
+    pub fn from_json(text: &[u8]) -> Result<Settings, String> {
+        let mut s: Settings = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
+        s.check()?;
+        s.limits.max_attempts = s.limits.max_attempts.max(1);
+        Ok(s)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let need = |ok: bool, what: &str| {
+            if ok { Ok(()) } else { Err(format!("settings: {what}")) }
+        };
+        need(!self.classes.is_empty(), "classes: at least one expected")?;
+        for (i, c) in self.classes.iter().enumerate() {
+            let key = |k: &str, want: &str| format!("classes[{i}].{k}: {want} expected");
+            need(c.aim > 0, &key("aim", "a time above 0"))?;
+            need(c.deadline > 0, &key("deadline", "a time above 0"))?;
+            need(c.credit >= 0.0, &key("credit", "a worth of 0 or more"))?;
+            need((0.0..=1.0).contains(&c.late_worth), &key("lateWorth", "a share from 0 to 1"))?;
+        }
+        need(self.instances > 0, "instances: 1 or more expected")?;
+        need(self.me < self.instances, "me: a number below instances expected")?;
+        need(self.report.columns.len() <= 4, "report.columns: four names at most expected")?;
+        need(
+            self.zones.is_empty() || (self.zone as usize) < self.zones.len(),
+            "zone: a position within zones expected",
+        )?;
+        need(
+            self.rules.cold_share > 0.0 && self.rules.cold_share <= 1.0,
+            "rules.coldShare: a share above 0, up to 1 expected",
+        )?;
+        need(self.rules.fall_multiple > 0.0, "rules.fallMultiple: a figure above 0 expected")?;
+        for (i, t) in self.tenants.iter().enumerate() {
+            need(
+                t.quota_per_s >= 0.0 && t.share >= 0.0,
+                &format!("tenants[{i}]: quotaPerS and share of 0 or more expected"),
+            )?;
+        }
+        Ok(())
+    }
+
+    /// The position of a column of the load report.
+    pub fn column(&self, name: &str) -> Option<usize> {
+        self.report.columns.iter().position(|c| c == name)
+    }
+}
--- /dev/null
+++ b/src/sidecar/discovery.rs
@@ -0,0 +1,206 @@
+//! The list of servers: asked for, watched, and told to the driver. Only whole answers count.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::HOST;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, mpsc};
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+
+use super::config::List;
+use super::driver::Driver;
+use crate::api::ListKind;
+use crate::settings::Discovery as How;
+
+/// The longest answer: some ten thousand servers.
+const LONGEST: usize = 4 << 20;
+/// How long a connection to discovery may take to come up.
+const CONNECT: Duration = Duration::from_millis(500);
+/// Between two pieces of an answer.
+const GAP: Duration = Duration::from_millis(700);
+/// Between calls that fail where lists are pushed: the agent is near, and free.
+const AGAIN: Duration = Duration::from_millis(100);
+
+/// What the module asks of discovery.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Changes from now on.
+    Watch,
+    /// The whole list, once.
+    Fetch,
+}
+
+/// The side of discovery that talks to it.
+pub struct Discovery {
+    address: SocketAddr,
+    how: How,
+    connection: Option<(SendRequest<Empty<Bytes>>, AbortHandle)>,
+    /// The version of the list at hand.
+    version: u64,
+    tried: Rc<Notify>,
+}
+
+impl Discovery {
+    /// `version` is that of the list remembered; `tried` is told of every call that ends.
+    pub fn new(address: SocketAddr, how: How, version: u64, tried: Rc<Notify>) -> Discovery {
+        Discovery { address, how, connection: None, version, tried }
+    }
+
+    /// Keeps the driver's list as new as it can be.
+    pub async fn run(mut self, driver: Rc<Driver>, calls: mpsc::UnboundedReceiver<Call>) {
+        match self.how {
+            How::Pushed => self.pushed(driver, calls).await,
+            How::Asked => self.asked(driver, calls).await,
+        }
+    }
+
+    /// Danger: what the agent has counts as told, so a watch is always out. A short hold costs
+    /// nothing here, and tells soon when the agent has fallen silent.
+    async fn pushed(&mut self, driver: Rc<Driver>, mut calls: mpsc::UnboundedReceiver<Call>) {
+        let hold = Duration::from_millis(500);
+        let mut whole = true;
+        loop {
+            tokio::select! {
+                list = self.call((!whole).then_some(hold), GAP) => match list {
+                    Some(list) => {
+                        whole = !self.tell(&driver, &list);
+                        if list.hosts.is_empty() {
+                            // An agent that does not hold calls is not asked without a pause.
+                            tokio::time::sleep(AGAIN / 5).await;
+                        }
+                    }
+                    None => tokio::time::sleep(AGAIN).await,
+                },
+                call = calls.recv() => {
+                    whole |= call == Some(Call::Fetch);
+                    self.hang_up();
+                }
+            }
+            self.tried.notify_one();
+        }
+    }
+
+    /// Here calls load discovery; the module decides when there is to be one.
+    async fn asked(&mut self, driver: Rc<Driver>, mut calls: mpsc::UnboundedReceiver<Call>) {
+        let hold = Duration::from_secs(4);
+        let patience = Duration::from_millis(1500);
+        let mut watching = None;
+        loop {
+            let call = match watching {
+                None => calls.recv().await,
+                Some(hold) => tokio::select! {
+                    list = self.call(Some(hold), patience) => {
+                        let told = list.is_some_and(|list| self.tell(&driver, &list));
+                        watching = told.then_some(Duration::from_secs(4));
+                        if !told {
+                            driver.discovery_failed();
+                        }
+                        self.tried.notify_one();
+                        continue;
+                    }
+                    call = calls.recv() => call,
+                },
+            };
+            self.hang_up();
+            match call {
+                // The first call is answered at once, with what was missed.
+                Some(Call::Watch) => watching = Some(Duration::ZERO),
+                Some(Call::Fetch) => {
+                    let list = self.call(None, 2 * patience).await;
+                    if !list.is_some_and(|list| self.tell(&driver, &list)) {
+                        driver.discovery_failed();
+                    }
+                    watching = watching.map(|_| hold);
+                    self.tried.notify_one();
+                }
+                None => return,
+            }
+        }
+    }
+
+    /// Passes a list on; false if it does not go with the one at hand.
+    fn tell(&mut self, driver: &Rc<Driver>, list: &List) -> bool {
+        if !list.whole && list.seq < self.version {
+            return false;
+        }
+        self.version = list.seq;
+        driver.servers(if list.whole { ListKind::Whole } else { ListKind::Changes }, list);
+        true
+    }
+
+    fn hang_up(&mut self) {
+        if let Some((_, task)) = self.connection.take() {
+            task.abort();
+        }
+    }
+
+    /// One call: for the whole list, or a watch that may wait for `hold`. None unless the answer
+    /// came whole and can be understood; then the next call has a new connection.
+    async fn call(&mut self, hold: Option<Duration>, patience: Duration) -> Option<List> {
+        let path = match hold {
+            None => "/registry/instances".to_owned(),
+            Some(hold) => {
+                format!("/registry/instances?from={}&hold_ms={}", self.version, hold.as_millis())
+            }
+        };
+        let first = hold.unwrap_or_default() + patience;
+        let connection = self.connection.take();
+        let mut connection = match connection.filter(|(sender, _)| !sender.is_closed()) {
+            Some(connection) => Hanging(Some(connection)),
+            None => Hanging(Some(connect(self.address).await?)),
+        };
+        let sender = &mut connection.0.as_mut()?.0;
+        let answer = timeout(first, async {
+            sender.ready().await.ok()?;
+            let request = Request::get(path)
+                .header(HOST, self.address.to_string())
+                .body(Empty::new())
+                .ok()?;
+            sender.send_request(request).await.ok()
+        });
+        let answer = answer.await.ok()??;
+        if answer.status() != StatusCode::OK {
+            return None;
+        }
+        let mut body = Limited::new(answer.into_body(), LONGEST);
+        let mut text = Vec::new();
+        // Danger: an answer may stop in the middle and stay open. While it moves, it is read on.
+        while let Some(frame) = timeout(GAP.max(patience), body.frame()).await.ok()? {
+            if let Ok(data) = frame.ok()?.into_data() {
+                text.extend_from_slice(&data);
+            }
+        }
+        let list = serde_json::from_slice(&text).ok()?;
+        self.connection = connection.0.take();
+        Some(list)
+    }
+}
+
+/// A connection that is closed when a call is dropped on the way.
+struct Hanging(Option<(SendRequest<Empty<Bytes>>, AbortHandle)>);
+
+impl Drop for Hanging {
+    fn drop(&mut self) {
+        if let Some((_, task)) = self.0.take() {
+            task.abort();
+        }
+    }
+}
+
+async fn connect(address: SocketAddr) -> Option<(SendRequest<Empty<Bytes>>, AbortHandle)> {
+    let socket = timeout(CONNECT, TcpStream::connect(address)).await.ok()?.ok()?;
+    socket.set_nodelay(true).ok()?;
+    let (sender, driving) = http1::handshake(TokioIo::new(socket)).await.ok()?;
+    let task = tokio::task::spawn_local(async move {
+        let _ = driving.await;
+    });
+    Some((sender, task.abort_handle()))
+}
--- /dev/null
+++ b/src/sidecar/driver.rs
@@ -0,0 +1,458 @@
+//! The sole owner of the decisions. What happens on sockets goes in as events; every action that
+//! comes out is carried out here, in order. Nothing else reasons about servers, retries or
+//! refusals.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use super::config::{List, Names};
+use super::discovery::Call;
+use super::peers::Peers;
+use super::upstream::{Head, Long, Reached, Spec, Upstream};
+use crate::api::{
+    Action, Event, ListKind, LoadReport, Micros, NewRequest, Outcome, RequestId, ServerId,
+};
+use crate::decide::Balancer;
+use crate::settings::{ReportHow, Settings};
+
+/// A final answer should be on its way this long before the client stops waiting.
+const MARGIN: Duration = Duration::from_millis(5);
+/// A server that stops within an answer for so long will not go on with it.
+const SERVER_STALL: Duration = Duration::from_secs(10);
+/// Servers that are gone are remembered no longer once there are so many names.
+const MOST_SERVERS: usize = 4096;
+
+/// The final answer to a request.
+pub enum Reply {
+    /// A server's answer, whole.
+    Served(Head, Bytes),
+    /// A server's answer that is still coming in.
+    Long(LongReply),
+    /// Trying again is harmless.
+    Refused {
+        /// When to, if told.
+        retry_after: Option<Duration>,
+    },
+    /// No promise.
+    Failed,
+}
+
+/// A long answer as the client gets it.
+pub struct LongReply {
+    /// Its head.
+    pub head: Head,
+    /// Its length, if it was announced.
+    pub length: Option<u64>,
+    /// Its pieces. They end with `Ok(None)` if the answer is whole.
+    pub pieces: mpsc::Receiver<Option<Bytes>>,
+}
+
+/// A request that the driver has taken. Dropping it before its final answer is written means that
+/// the client has gone.
+pub struct Ticket {
+    id: RequestId,
+    driver: Rc<Driver>,
+    reply: oneshot::Receiver<Reply>,
+}
+
+impl Ticket {
+    /// The final answer.
+    pub async fn reply(&mut self) -> Reply {
+        (&mut self.reply).await.unwrap_or(Reply::Failed)
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.driver.client_gone(self.id);
+    }
+}
+
+/// What a client's request says of itself.
+pub struct Asked {
+    /// Its class's place in the settings.
+    pub class: usize,
+    /// Whether its class may be sent again once it may have run.
+    pub repeatable: bool,
+    /// Its tenant's place in the settings.
+    pub tenant: usize,
+    /// What it is about; 0: unknown.
+    pub key: u64,
+    /// How long the client will wait.
+    pub left: Duration,
+    /// The client's guess at the work.
+    pub hint: Option<Micros>,
+    /// A client's repeat.
+    pub repeat: bool,
+}
+
+struct Pending {
+    reply: Option<oneshot::Sender<Reply>>,
+    /// None once no further attempt can need it.
+    spec: Option<Rc<Spec>>,
+    /// What calls off each attempt that is out.
+    attempts: Vec<Option<oneshot::Sender<()>>>,
+    /// The attempt whose long answer is being passed on.
+    streaming: Option<usize>,
+}
+
+impl Pending {
+    fn ended(&self) -> bool {
+        self.reply.is_none() && self.streaming.is_none()
+    }
+
+    fn forgettable(&self) -> bool {
+        self.ended() && self.attempts.iter().all(Option::is_none)
+    }
+}
+
+struct Core {
+    balancer: Balancer,
+    requests: HashMap<RequestId, Pending>,
+    next_id: u64,
+    servers: HashMap<ServerId, SocketAddr>,
+    listed: bool,
+}
+
+/// Owns the decisions and carries them out.
+pub struct Driver {
+    core: RefCell<Core>,
+    clock: (Micros, Instant),
+    names: Rc<Names>,
+    upstream: Rc<Upstream>,
+    discovery: mpsc::UnboundedSender<Call>,
+    peers: Option<Rc<Peers>>,
+    probe_reports: bool,
+}
+
+impl Driver {
+    /// A driver with nothing under way.
+    pub fn new(
+        settings: Settings,
+        seed: u64,
+        names: Rc<Names>,
+        upstream: Rc<Upstream>,
+        discovery: mpsc::UnboundedSender<Call>,
+        peers: Option<Rc<Peers>>,
+    ) -> Rc<Driver> {
+        // `born_ms` of servers is Unix time, so the module's clock is, too; it never steps back.
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let clock = (unix.as_micros() as Micros, Instant::now());
+        let probe_reports = settings.report.how != ReportHow::Silent;
+        let core = RefCell::new(Core {
+            balancer: Balancer::new(settings, seed, clock.0),
+            requests: HashMap::new(),
+            next_id: 0,
+            servers: HashMap::new(),
+            listed: false,
+        });
+        Rc::new(Driver { core, clock, names, upstream, discovery, peers, probe_reports })
+    }
+
+    fn now(&self) -> Micros {
+        self.clock.0 + self.clock.1.elapsed().as_micros() as Micros
+    }
+
+    fn event(self: &Rc<Driver>, event: Event<'_>) {
+        let mut actions = Vec::new();
+        let now = self.now();
+        self.core.borrow_mut().balancer.handle(now, event, &mut actions);
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(self: &Rc<Driver>, action: Action) {
+        match action {
+            Action::Send { id, server, timeout } => self.send(id, server, timeout),
+            Action::Cancel { id, attempt } => {
+                let mut core = self.core.borrow_mut();
+                let request = core.requests.get_mut(&id).filter(|r| r.streaming.is_none());
+                // The attempt goes on to be told as cancelled, or as what it came to just now.
+                let cancel = request.and_then(|r| r.attempts.get_mut(attempt)?.take());
+                if let Some(cancel) = cancel {
+                    let _ = cancel.send(());
+                }
+            }
+            Action::Refuse { id, retry_after } => {
+                let retry_after = (retry_after > 0).then(|| Duration::from_micros(retry_after));
+                self.end(id, Reply::Refused { retry_after });
+            }
+            Action::Fail { id } => self.end(id, Reply::Failed),
+            Action::Timer { delay, token } => {
+                let driver = self.clone();
+                spawn_local(async move {
+                    tokio::time::sleep(Duration::from_micros(delay)).await;
+                    driver.event(Event::Timer { token });
+                });
+            }
+            Action::Probe { server } => {
+                let dial = self.core.borrow().servers.get(&server).copied();
+                let driver = self.clone();
+                spawn_local(async move {
+                    let sent = Instant::now();
+                    let (outcome, report) = match dial {
+                        Some(dial) => driver.upstream.probe(dial, driver.probe_reports).await,
+                        None => (Outcome::ConnectFailed, LoadReport::default()),
+                    };
+                    let latency = sent.elapsed().as_micros() as Micros;
+                    driver.event(Event::Probed { server, outcome, latency, report });
+                });
+            }
+            Action::CloseIdle { server } => self.upstream.close_idle(server),
+            // Discovery runs as long as the driver does.
+            Action::Subscribe => drop(self.discovery.send(Call::Watch)),
+            Action::FetchList => drop(self.discovery.send(Call::Fetch)),
+            Action::Tell { peer, data } => {
+                if let Some(peers) = &self.peers {
+                    peers.tell(peer, &data);
+                }
+            }
+            Action::Log { text } => tracing::info!("{text}"),
+        }
+    }
+
+    // ---- What happens ----
+
+    /// Takes a whole request.
+    pub fn request(self: &Rc<Driver>, asked: Asked, spec: Spec) -> Ticket {
+        let (reply, waiting) = oneshot::channel();
+        let id = {
+            let mut core = self.core.borrow_mut();
+            core.next_id += 1;
+            let id = RequestId(core.next_id);
+            let pending = Pending {
+                reply: Some(reply),
+                spec: Some(Rc::new(spec)),
+                attempts: Vec::new(),
+                streaming: None,
+            };
+            core.requests.insert(id, pending);
+            id
+        };
+        let margin = MARGIN.min(asked.left / 4);
+        self.event(Event::Request(NewRequest {
+            id,
+            class: asked.class,
+            tenant: asked.tenant,
+            key: asked.key,
+            left: (asked.left - margin).as_micros() as Micros,
+            hint: asked.hint,
+            repeat: asked.repeat,
+        }));
+        Ticket { id, driver: self.clone(), reply: waiting }
+    }
+
+    fn client_gone(self: &Rc<Driver>, id: RequestId) {
+        {
+            let mut core = self.core.borrow_mut();
+            let Some(request) = core.requests.get_mut(&id).filter(|r| !r.ended()) else {
+                return;
+            };
+            request.reply = None;
+            request.spec = None;
+            if request.streaming.is_some() {
+                // The attempt itself finds nobody to pass the answer on to.
+                return;
+            }
+        }
+        self.event(Event::ClientGone { id });
+        self.forget(id);
+    }
+
+    /// Discovery's news.
+    pub fn servers(self: &Rc<Driver>, kind: ListKind, list: &List) {
+        {
+            let mut core = self.core.borrow_mut();
+            if kind != ListKind::Changes && core.servers.len() > MOST_SERVERS {
+                core.servers.clear();
+            }
+            for host in &list.hosts {
+                let id = host.id();
+                let Some(dial) = host.dial else { continue };
+                if core.servers.insert(id, dial).is_some_and(|before| before != dial) {
+                    self.upstream.close_idle(id);
+                }
+            }
+            core.listed |= !list.hosts.is_empty();
+        }
+        let entries: Vec<_> = list.hosts.iter().map(|h| self.names.entry(h)).collect();
+        self.event(Event::Servers { kind, entries: &entries });
+    }
+
+    /// A call of discovery failed, or the subscription broke.
+    pub fn discovery_failed(self: &Rc<Driver>) {
+        self.event(Event::Servers { kind: ListKind::Failed, entries: &[] });
+    }
+
+    /// A datagram of another sidecar.
+    pub fn note(self: &Rc<Driver>, from: u32, data: &[u8]) {
+        self.event(Event::Note { from, data });
+    }
+
+    /// Whether any server was ever listed.
+    pub fn listed(&self) -> bool {
+        self.core.borrow().listed
+    }
+
+    // ---- Attempts ----
+
+    fn send(self: &Rc<Driver>, id: RequestId, server: ServerId, wait: Micros) {
+        let (cancel, cancelled) = oneshot::channel();
+        let (n, way) = {
+            let mut core = self.core.borrow_mut();
+            let dial = core.servers.get(&server).copied();
+            let Some(request) = core.requests.get_mut(&id) else {
+                drop(core);
+                return self.moot(id, 0, server);
+            };
+            request.attempts.push(Some(cancel));
+            let spec =
+                request.spec.clone().filter(|_| !request.ended() && request.streaming.is_none());
+            (request.attempts.len() - 1, spec.zip(dial))
+        };
+        let Some((spec, dial)) = way else {
+            return self.moot(id, n, server);
+        };
+        let wait = Duration::from_micros(wait);
+        spawn_local(self.clone().attempt(id, n, (server, dial), spec, wait, cancelled));
+    }
+
+    /// Tells, not before the present event is dealt with, that an attempt was never sent.
+    fn moot(self: &Rc<Driver>, id: RequestId, n: usize, server: ServerId) {
+        let driver = self.clone();
+        spawn_local(async move {
+            driver.over(id, n, server, Outcome::Moot, 0, LoadReport::default(), None);
+        });
+    }
+
+    async fn attempt(
+        self: Rc<Driver>,
+        id: RequestId,
+        n: usize,
+        (server, dial): (ServerId, SocketAddr),
+        spec: Rc<Spec>,
+        wait: Duration,
+        cancelled: oneshot::Receiver<()>,
+    ) {
+        let sent = Instant::now();
+        let elapsed = || sent.elapsed().as_micros() as Micros;
+        let end = |outcome| Reached::End { outcome, report: LoadReport::default(), answer: None };
+        let reached = tokio::select! {
+            biased;
+            reached = self.upstream.attempt(server, dial, &spec, sent + wait) => reached,
+            // Given up by the module, or because nothing can come of it any more.
+            _ = cancelled => end(Outcome::Cancelled),
+            () = tokio::time::sleep(wait) => end(Outcome::TimedOut),
+        };
+        drop(spec);
+        match reached {
+            Reached::End { outcome, report, answer } => {
+                self.over(id, n, server, outcome, elapsed(), report, answer);
+            }
+            Reached::Long(long) => {
+                let report = long.report.clone();
+                let latency = elapsed();
+                let outcome = self.pass_on(id, n, *long).await;
+                self.over(id, n, server, outcome, latency, report, None);
+            }
+        }
+    }
+
+    /// Passes a long answer on as it comes, at the client's pace.
+    async fn pass_on(self: &Rc<Driver>, id: RequestId, n: usize, mut long: Long) -> Outcome {
+        let (to_client, pieces) = mpsc::channel(1);
+        {
+            let mut core = self.core.borrow_mut();
+            let request = core.requests.get_mut(&id).filter(|r| r.streaming.is_none());
+            let Some((request, reply)) = request.and_then(|r| r.reply.take().map(|to| (r, to)))
+            else {
+                return Outcome::Cancelled;
+            };
+            request.streaming = Some(n);
+            request.spec = None;
+            let head = std::mem::take(&mut long.head);
+            let _ = reply.send(Reply::Long(LongReply { head, length: long.length, pieces }));
+        }
+        self.event(Event::FirstByte { id, attempt: n });
+        loop {
+            let piece = tokio::select! {
+                piece = timeout(SERVER_STALL, long.next()) => piece,
+                () = to_client.closed() => return Outcome::Cancelled,
+            };
+            match piece {
+                Ok(Some(Ok(piece))) => {
+                    if to_client.send(Some(piece)).await.is_err() {
+                        return Outcome::Cancelled;
+                    }
+                }
+                Ok(None) => {
+                    let _ = to_client.send(None).await;
+                    return Outcome::Served;
+                }
+                // Danger: the channel's end without a word is how the client comes to see that
+                // the answer is not whole.
+                Ok(Some(Err(_))) | Err(_) => return Outcome::Reset,
+            }
+        }
+    }
+
+    /// Tells an attempt's outcome. The first answer served goes to the client.
+    #[allow(clippy::too_many_arguments)]
+    fn over(
+        self: &Rc<Driver>,
+        id: RequestId,
+        attempt: usize,
+        server: ServerId,
+        outcome: Outcome,
+        latency: Micros,
+        report: LoadReport,
+        answer: Option<(Head, Bytes)>,
+    ) {
+        let mut finished = true;
+        if let Some(request) = self.core.borrow_mut().requests.get_mut(&id) {
+            if let Some(out) = request.attempts.get_mut(attempt) {
+                *out = None;
+            }
+            if request.streaming == Some(attempt) {
+                request.streaming = None;
+            }
+            if let Some((head, body)) = answer
+                && let Some(reply) = request.reply.take()
+            {
+                let _ = reply.send(Reply::Served(head, body));
+            }
+            finished = request.ended();
+            if finished {
+                request.spec = None;
+            }
+        }
+        self.event(Event::Answer { id, attempt, server, outcome, latency, finished, report });
+        self.forget(id);
+    }
+
+    fn end(self: &Rc<Driver>, id: RequestId, reply: Reply) {
+        if let Some(request) = self.core.borrow_mut().requests.get_mut(&id) {
+            request.spec = None;
+            if let Some(to) = request.reply.take() {
+                let _ = to.send(reply);
+            }
+        }
+        self.forget(id);
+    }
+
+    fn forget(&self, id: RequestId) {
+        let mut core = self.core.borrow_mut();
+        if core.requests.get(&id).is_some_and(Pending::forgettable) {
+            core.requests.remove(&id);
+        }
+    }
+}
--- /dev/null
+++ b/src/sidecar/ingress.rs
@@ -0,0 +1,592 @@
+//! Clients: their connections and requests. A request is taken when it is whole, and gets one
+//! answer; those of one connection follow one another in order.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Either, Full};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, mpsc};
+use tokio::time::{sleep, timeout};
+
+use super::budget::{self, Account, LONGEST_BODY, Place, Sockets};
+use super::config::{Names, stable_hash};
+use super::driver::{Asked, Driver, LongReply, Reply};
+use super::stream::{self, Observer, Stream};
+use super::upstream::Spec;
+use crate::api::Micros;
+use crate::settings::Repeat;
+
+/// The most that hyper reads ahead, and so the longest head.
+const READ_AHEAD: usize = 64 << 10;
+/// Bodies are kept in pieces of this size.
+const PIECE: usize = 64 << 10;
+/// A client that is within a message and sends nothing for so long is let go.
+const READ_STALL: Duration = Duration::from_secs(6);
+/// A client that reads nothing of its answer for so long is let go.
+const WRITE_STALL: Duration = Duration::from_secs(20);
+/// In a crowd, who takes longer than this for a request's first bytes goes first: clients may
+/// take 2 s for a head.
+const SLOWEST_HEAD: Duration = Duration::from_millis(2500);
+/// The most that a client may claim as time left. Danger: timers run for as long as it claims, and
+/// each takes memory.
+const LONGEST_LEFT: Duration = Duration::from_secs(60);
+/// Between two looks at where a connection's client is.
+const LOOK: Duration = Duration::from_secs(1);
+/// How long an ended connection is read on, so that what the client still sends does not take
+/// its answer away.
+const LINGER: Duration = Duration::from_secs(2);
+/// A pause before accepting again when the system has no descriptor left.
+const NO_DESCRIPTOR: Duration = Duration::from_millis(10);
+
+/// Where a connection's client is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Nothing of a request has come.
+    Resting,
+    /// Part of a request has come.
+    Partial,
+    /// A request is whole, and its answer is awaited.
+    Taken,
+    /// The answer is made; some of it may be unwritten.
+    Answered,
+    /// All is written, and nothing more is answered here.
+    Ending,
+}
+
+/// One client's connection, as it is seen from outside.
+struct Client {
+    phase: Cell<Phase>,
+    /// hyper has all of the last answer; what is flushed next is its end.
+    complete: Cell<bool>,
+    /// It is this side that holds a request up, for want of memory.
+    held_up: Cell<bool>,
+    /// When the phase began, and when bytes last moved.
+    since: Cell<Instant>,
+    moved: Cell<Instant>,
+    leave: Notify,
+}
+
+impl Client {
+    fn new() -> Client {
+        let now = Instant::now();
+        Client {
+            phase: Cell::new(Phase::Resting),
+            complete: Cell::new(false),
+            held_up: Cell::new(false),
+            since: Cell::new(now),
+            moved: Cell::new(now),
+            leave: Notify::new(),
+        }
+    }
+
+    fn enter(&self, phase: Phase) {
+        self.phase.set(phase);
+        self.since.set(Instant::now());
+    }
+
+    /// Whether a request of its own is under way.
+    fn busy(&self) -> bool {
+        matches!(self.phase.get(), Phase::Taken | Phase::Answered)
+    }
+
+    /// In a crowd, who is to go first: the lower, the sooner. None: not to go at all.
+    fn rank(&self) -> Option<(u8, Instant)> {
+        match self.phase.get() {
+            Phase::Taken | Phase::Answered => None,
+            // Danger: in a crowd, connections that only wait for their clients to close them
+            // would keep new ones out.
+            Phase::Ending => Some((0, self.since.get())),
+            Phase::Partial if self.since.get().elapsed() > SLOWEST_HEAD => {
+                Some((0, self.moved.get()))
+            }
+            Phase::Resting => Some((1, self.moved.get())),
+            Phase::Partial => Some((2, self.since.get())),
+        }
+    }
+
+    fn stalled(&self) -> bool {
+        let still = self.moved.get().elapsed();
+        match self.phase.get() {
+            Phase::Resting | Phase::Taken | Phase::Ending => false,
+            Phase::Partial => still > READ_STALL && !self.held_up.get(),
+            Phase::Answered => still > WRITE_STALL,
+        }
+    }
+}
+
+impl Observer for Client {
+    fn on_read(&self, n: usize) {
+        self.moved.set(Instant::now());
+        if n > 0 && self.phase.get() == Phase::Resting {
+            self.enter(Phase::Partial);
+        }
+    }
+
+    fn on_write(&self, _bytes: &[u8]) {
+        self.moved.set(Instant::now());
+    }
+
+    fn on_flush(&self) {
+        if self.complete.replace(false) && self.phase.get() == Phase::Answered {
+            self.enter(Phase::Resting);
+        }
+    }
+}
+
+/// The side of the sidecar that clients see.
+pub struct Ingress {
+    driver: Rc<Driver>,
+    names: Rc<Names>,
+    sockets: Rc<Sockets>,
+    bytes: Rc<budget::Bytes>,
+    clients: RefCell<HashMap<u64, Rc<Client>>>,
+    accepted: Cell<(u64, Instant)>,
+    draining: Cell<bool>,
+    tried: Cell<bool>,
+}
+
+impl Ingress {
+    /// An ingress without clients.
+    pub fn new(
+        driver: Rc<Driver>,
+        names: Rc<Names>,
+        sockets: Rc<Sockets>,
+        bytes: Rc<budget::Bytes>,
+    ) -> Rc<Ingress> {
+        Rc::new(Ingress {
+            driver,
+            names,
+            sockets,
+            bytes,
+            clients: RefCell::default(),
+            accepted: Cell::new((0, Instant::now())),
+            draining: Cell::new(false),
+            tried: Cell::new(false),
+        })
+    }
+
+    /// Discovery has answered, or failed to: what is known of servers is as new as can be.
+    pub fn discovery_tried(&self) {
+        self.tried.set(true);
+    }
+
+    /// From now on each answer is the last on its connection.
+    pub fn drain(&self) {
+        self.draining.set(true);
+    }
+
+    /// When the last connection came.
+    pub fn last_accepted(&self) -> Instant {
+        self.accepted.get().1
+    }
+
+    /// How many requests are under way.
+    pub fn busy(&self) -> usize {
+        self.clients.borrow().values().filter(|c| c.busy()).count()
+    }
+
+    /// Closes the connections on which no request is under way; `partial`: those too on which
+    /// one has begun to come.
+    pub fn close_idle(&self, partial: bool) {
+        for client in self.clients.borrow().values() {
+            let phase = client.phase.get();
+            if phase == Phase::Resting || (partial && phase == Phase::Partial) {
+                client.leave.notify_one();
+            }
+        }
+    }
+
+    /// Accepts clients for as long as it is polled.
+    pub async fn accept(self: Rc<Ingress>, listener: TcpListener) {
+        loop {
+            let place = self.place().await;
+            match listener.accept().await {
+                Ok((socket, _)) => {
+                    let n = self.accepted.get().0 + 1;
+                    self.accepted.set((n, Instant::now()));
+                    tokio::task::spawn_local(self.clone().client(n, socket, place));
+                }
+                Err(e) => {
+                    // Danger: an accept that fails for want of descriptors (or because the client
+                    // is gone again) must not end accepting.
+                    tracing::warn!("accept: {e}");
+                    self.evict();
+                    sleep(NO_DESCRIPTOR).await;
+                }
+            }
+        }
+    }
+
+    /// A place for one more client. In a crowd one that has nothing under way makes room.
+    async fn place(&self) -> Place {
+        loop {
+            let free = self.sockets.clients.clone();
+            if let Ok(place) = free.clone().try_acquire_owned() {
+                return place;
+            }
+            self.evict();
+            if let Ok(Ok(place)) = timeout(NO_DESCRIPTOR, free.acquire_owned()).await {
+                return place;
+            }
+        }
+    }
+
+    fn evict(&self) {
+        let clients = self.clients.borrow();
+        let first = clients.values().filter_map(|c| Some((c.rank()?, c))).min_by_key(|c| c.0);
+        if let Some((_, client)) = first {
+            client.leave.notify_one();
+        }
+    }
+
+    async fn client(self: Rc<Ingress>, n: u64, socket: TcpStream, place: Place) {
+        let _ = socket.set_nodelay(true);
+        let socket = Rc::new(socket);
+        let client = Rc::new(Client::new());
+        self.clients.borrow_mut().insert(n, client.clone());
+        let io = TokioIo::new(Stream::new(socket.clone(), client.clone()));
+        let mut connection = Box::pin(
+            http1::Builder::new()
+                .max_buf_size(READ_AHEAD)
+                .header_read_timeout(None)
+                .serve_connection(
+                    io,
+                    service_fn(|request| self.clone().serve(client.clone(), request)),
+                ),
+        );
+        let answered = tokio::select! {
+            ended = connection.as_mut() => ended.map_or_else(|e| e.is_parse(), |()| true),
+            () = client.leave.notified() => false,
+            () = stalled(&client) => false,
+        };
+        drop(connection);
+        if answered {
+            client.enter(Phase::Ending);
+            tokio::select! {
+                () = linger(&socket) => {}
+                () = client.leave.notified() => {}
+            }
+        } else if client.busy() {
+            // Danger: to a client that is told neither length nor chunks, an ordinary close
+            // would look like the end of the whole answer.
+            let _ = SockRef::from(&*socket).set_linger(Some(Duration::ZERO));
+        }
+        self.clients.borrow_mut().remove(&n);
+        drop(socket);
+        drop(place);
+    }
+
+    async fn serve(
+        self: Rc<Ingress>,
+        client: Rc<Client>,
+        request: Request<Incoming>,
+    ) -> Result<Response<Answer>, Gone> {
+        // With pipelining, the next request is read before the last answer is out.
+        client.complete.set(false);
+        if client.phase.get() != Phase::Partial {
+            client.enter(Phase::Partial);
+        }
+        let mut response = match self.reply(&client, request).await? {
+            Ok(reply) => written(reply),
+            Err(status) => plain(status),
+        };
+        if self.draining.get() {
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        client.enter(Phase::Answered);
+        let (head, body) = response.into_parts();
+        Ok(Response::from_parts(head, Answer { body, client }))
+    }
+
+    /// The answer to one request, or the status that tells what is wrong with it.
+    async fn reply(
+        &self,
+        client: &Client,
+        request: Request<Incoming>,
+    ) -> Result<Result<Reply, StatusCode>, Gone> {
+        let (head, body) = request.into_parts();
+        if head.uri.path() == "/health/ready" {
+            let ready = self.tried.get() && self.driver.listed();
+            return Ok(Err(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }));
+        }
+        let asked = match self.asked(&head) {
+            Ok(asked) => asked,
+            Err(status) => return Ok(Err(status)),
+        };
+        let mut account = self.bytes.account();
+        let body = match read(client, body, &mut account).await? {
+            Some(body) => body,
+            None => return Ok(Err(StatusCode::PAYLOAD_TOO_LARGE)),
+        };
+        client.enter(Phase::Taken);
+        let target = head.uri.path_and_query().cloned().map(hyper::Uri::from);
+        let headers = passed_on(&head.headers);
+        let target = target.unwrap_or_default();
+        let repeatable = asked.repeatable;
+        let spec = Spec { method: head.method, target, headers, repeatable, body, account };
+        let mut ticket = self.driver.request(asked, spec);
+        Ok(Ok(ticket.reply().await))
+    }
+
+    /// What a request's head asks for; refused are heads that say too little or the wrong thing.
+    fn asked(&self, head: &hyper::http::request::Parts) -> Result<Asked, StatusCode> {
+        let text = |name: &str| head.headers.get(name).map(|v| v.to_str().map(str::trim));
+        let text = |name: &str| text(name).transpose().map_err(|_| StatusCode::BAD_REQUEST);
+        let class = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
+        let class = self.names.classes.get(class).ok_or(StatusCode::NOT_FOUND)?;
+        let keyed = text("idempotency-key")?.is_some();
+        match (class.repeat, &head.method) {
+            (Repeat::Safe, &Method::GET) | (Repeat::Keyed | Repeat::Unsafe, &Method::POST) => {}
+            _ => return Err(StatusCode::METHOD_NOT_ALLOWED),
+        }
+        if class.repeat != Repeat::Safe && keyed != (class.repeat == Repeat::Keyed) {
+            return Err(StatusCode::BAD_REQUEST);
+        }
+        text("x-correlation-id")?.filter(|id| !id.is_empty()).ok_or(StatusCode::BAD_REQUEST)?;
+        let tenant = match text("x-account")? {
+            _ if self.names.tenants.is_empty() => 0,
+            name => *name
+                .and_then(|name| self.names.tenants.get(name))
+                .ok_or(StatusCode::BAD_REQUEST)?,
+        };
+        let left = text("x-time-left-ms")?.and_then(|v| v.parse::<u32>().ok());
+        let left = left.ok_or(StatusCode::BAD_REQUEST)?;
+        Ok(Asked {
+            class: class.index,
+            repeatable: class.repeat != Repeat::Unsafe,
+            tenant,
+            key: head.headers.get_all(header::COOKIE).iter().find_map(key).unwrap_or(0),
+            left: Duration::from_millis(left.into()).min(LONGEST_LEFT),
+            hint: text("x-weight-hint")?.and_then(|v| v.parse::<Micros>().ok()),
+            repeat: text("x-repeat")? == Some("1"),
+        })
+    }
+}
+
+/// What the cookie `k` names.
+fn key(cookies: &HeaderValue) -> Option<u64> {
+    let pairs = cookies.to_str().ok()?.split(';').filter_map(|pair| pair.split_once('='));
+    let value = pairs.filter(|(name, _)| name.trim() == "k").map(|(_, v)| v.trim()).next()?;
+    Some(u64::from_str_radix(value, 16).unwrap_or_else(|_| stable_hash(value.as_bytes())))
+}
+
+/// The headers of a message that go beyond this hop.
+fn passed_on(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    let this_hop = |name: &HeaderName| {
+        matches!(
+            name.as_str(),
+            "connection"
+                | "content-length"
+                | "expect"
+                | "keep-alive"
+                | "proxy-authenticate"
+                | "proxy-authorization"
+                | "proxy-connection"
+                | "te"
+                | "trailer"
+                | "transfer-encoding"
+                | "upgrade"
+                | "x-backend-load"
+                | "x-unprocessed"
+        ) || named.contains(name)
+    };
+    let kept = headers.iter().filter(|(name, _)| !this_hop(name));
+    kept.map(|(name, value)| (name.clone(), value.clone())).collect()
+}
+
+/// Reads a body whole. None: it is too long.
+async fn read(
+    client: &Client,
+    mut body: Incoming,
+    account: &mut Account,
+) -> Result<Option<Vec<Bytes>>, Gone> {
+    let mut pieces = Vec::new();
+    let mut piece = BytesMut::new();
+    let mut left = LONGEST_BODY;
+    if body.is_end_stream() {
+        return Ok(Some(pieces));
+    }
+    room(client, account).await;
+    while let Some(frame) = body.frame().await {
+        let Ok(mut data) = frame.map_err(|_| Gone)?.into_data() else { continue };
+        let Some(rest) = left.checked_sub(data.len()) else { return Ok(None) };
+        left = rest;
+        while !data.is_empty() {
+            // Danger: bodies that come byte by byte would cost many times their size if each
+            // byte were kept as it came.
+            let n = data.len().min(PIECE - piece.len());
+            piece.extend_from_slice(&data.split_to(n));
+            if piece.len() == PIECE {
+                pieces.push(std::mem::take(&mut piece).freeze());
+                room(client, account).await;
+            }
+        }
+    }
+    if !piece.is_empty() {
+        pieces.push(piece.freeze());
+    }
+    Ok(Some(pieces))
+}
+
+/// Takes room for one more piece. Danger: asked for only when bytes are here, the budget would be
+/// overdrawn by all who send at once. What is not yet read waits in the client.
+async fn room(client: &Client, account: &mut Account) {
+    client.held_up.set(true);
+    account.grow(PIECE).await;
+    client.held_up.set(false);
+    client.moved.set(Instant::now());
+}
+
+async fn stalled(client: &Client) {
+    while !client.stalled() {
+        sleep(LOOK).await;
+    }
+}
+
+/// Danger: closing a socket on which unread bytes wait (the next request, the rest of one that
+/// was answered early) resets the connection, and the reset takes away what the client has not
+/// read of its answer. The sending side is ended first, and what comes is read for a while.
+async fn linger(socket: &TcpStream) {
+    stream::finish_writing(socket);
+    let drained = async {
+        let mut buf = [0; 4096];
+        loop {
+            match socket.try_read(&mut buf) {
+                Ok(0) => return,
+                Ok(_) => tokio::task::yield_now().await,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    if socket.readable().await.is_err() {
+                        return;
+                    }
+                }
+                Err(_) => return,
+            }
+        }
+    };
+    let _ = timeout(LINGER, drained).await;
+}
+
+/// The client has gone, or cannot be told anything more.
+#[derive(Debug)]
+struct Gone;
+
+impl std::fmt::Display for Gone {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the connection is of no more use")
+    }
+}
+
+impl std::error::Error for Gone {}
+
+fn plain(status: StatusCode) -> Response<Either<Full<Bytes>, Pieces>> {
+    let mut response = Response::new(Either::Left(Full::default()));
+    *response.status_mut() = status;
+    response
+}
+
+fn written(reply: Reply) -> Response<Either<Full<Bytes>, Pieces>> {
+    match reply {
+        Reply::Served(head, body) => {
+            let mut response = Response::new(Either::Left(Full::new(body)));
+            *response.headers_mut() = passed_on(&head);
+            response
+        }
+        Reply::Long(LongReply { head, length, pieces }) => {
+            let mut response = Response::new(Either::Right(Pieces { pieces, left: length }));
+            *response.headers_mut() = passed_on(&head);
+            response
+        }
+        Reply::Refused { retry_after } => {
+            let mut response = plain(StatusCode::SERVICE_UNAVAILABLE);
+            let seconds = retry_after.map(|t| format!("{:.3}", t.as_secs_f64()));
+            if let Some(Ok(seconds)) = seconds.map(HeaderValue::try_from) {
+                response.headers_mut().insert(header::RETRY_AFTER, seconds);
+            }
+            response
+        }
+        Reply::Failed => plain(StatusCode::BAD_GATEWAY),
+    }
+}
+
+/// A long answer's body.
+struct Pieces {
+    pieces: mpsc::Receiver<Option<Bytes>>,
+    left: Option<u64>,
+}
+
+impl Body for Pieces {
+    type Data = Bytes;
+    type Error = Gone;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Gone>>> {
+        self.pieces.poll_recv(cx).map(|piece| match piece {
+            Some(Some(piece)) => {
+                self.left = self.left.map(|l| l.saturating_sub(piece.len() as u64));
+                Some(Ok(Frame::data(piece)))
+            }
+            Some(None) => None,
+            // It broke off.
+            None => Some(Err(Gone)),
+        })
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.left.map_or_else(SizeHint::default, SizeHint::with_exact)
+    }
+}
+
+/// An answer's body. When it is done with, its connection rests again.
+struct Answer {
+    body: Either<Full<Bytes>, Pieces>,
+    client: Rc<Client>,
+}
+
+impl Drop for Answer {
+    fn drop(&mut self) {
+        self.client.complete.set(true);
+    }
+}
+
+impl Body for Answer {
+    type Data = Bytes;
+    type Error = Box<dyn std::error::Error + Send + Sync>;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/src/sidecar/shutdown.rs
@@ -0,0 +1,41 @@
+//! The planned end: what was taken is answered, and nothing new is taken that could not be.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use tokio::time::sleep;
+
+use super::ingress::Ingress;
+
+/// New connections go on coming for up to 0.4 s; once none has come for a while after that, the
+/// clients that have nothing under way are let go.
+const COMING: Duration = Duration::from_millis(500);
+/// No new connection for so long: there are no more to come.
+const QUIET: Duration = Duration::from_millis(100);
+/// What is not whole by now might not be answered in time. Killing comes no sooner than the
+/// longest deadline and 0.7 s after the signal.
+const LAST_TAKEN: Duration = Duration::from_millis(650);
+/// What is left of that for long answers, beyond the longest deadline.
+const SPARE: Duration = Duration::from_millis(600);
+const LOOK: Duration = Duration::from_millis(10);
+
+/// Waits, from the signal on, until all is answered or nothing more can be.
+pub async fn drain(ingress: Rc<Ingress>, longest_deadline: Duration) {
+    let signal = Instant::now();
+    ingress.drain();
+    while signal.elapsed() < COMING
+        || (ingress.last_accepted().elapsed() < QUIET && signal.elapsed() < LAST_TAKEN)
+    {
+        sleep(LOOK).await;
+    }
+    // Danger: a client whose connection is closed just as it writes comes again on a new one, so
+    // new ones are accepted to the end.
+    loop {
+        ingress.close_idle(signal.elapsed() >= LAST_TAKEN);
+        let coming = signal.elapsed() < LAST_TAKEN || ingress.last_accepted().elapsed() < QUIET;
+        if ingress.busy() == 0 && !coming || signal.elapsed() >= longest_deadline + SPARE {
+            return;
+        }
+        sleep(LOOK).await;
+    }
+}
--- /dev/null
+++ b/src/sidecar/upstream.rs
@@ -0,0 +1,510 @@
+//! Connections to servers, and single attempts on them. An attempt has exactly one outcome.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{HOST, HeaderMap, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+
+use super::budget::{Account, Place, Sockets};
+use super::config::Names;
+use super::stream::{self, Observer, Stream};
+use crate::api::{LoadReport, Outcome, ServerId};
+
+/// Answers up to this size are read whole before their outcome is told.
+pub const WHOLE: usize = 64 << 10;
+/// The most that hyper reads ahead, and so the longest head.
+const READ_AHEAD: usize = 64 << 10;
+/// How long all but a request's last byte is on a connection before that byte follows.
+const TRIAL: Duration = Duration::from_millis(4);
+/// The same for a request that must not be sent again once it may have run.
+const LONG_TRIAL: Duration = Duration::from_millis(12);
+/// How long a connection may take to be ready for the next request after an answer.
+const SETTLE: Duration = Duration::from_millis(50);
+/// How long the rest of an answer that nobody wants may take before its connection is closed.
+const DISCARD: Duration = Duration::from_millis(500);
+
+/// A client's request as servers get it, kept for repeats.
+pub struct Spec {
+    /// The method.
+    pub method: Method,
+    /// Path and query, unchanged.
+    pub target: hyper::Uri,
+    /// What goes on of the headers.
+    pub headers: HeaderMap,
+    /// Sent twice, it does no harm.
+    pub repeatable: bool,
+    /// The body in pieces.
+    pub body: Vec<Bytes>,
+    /// What the body takes of the budget.
+    pub account: Account,
+}
+
+impl Spec {
+    fn len(&self) -> u64 {
+        self.body.iter().map(|b| b.len() as u64).sum()
+    }
+}
+
+/// The body of one attempt.
+struct Replay {
+    spec: Rc<Spec>,
+    next: usize,
+}
+
+impl Body for Replay {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let piece = self.spec.body.get(self.next).cloned();
+        self.next += 1;
+        Poll::Ready(piece.map(|p| Ok(Frame::data(p))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.next >= self.spec.body.len()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.spec.body.iter().skip(self.next).map(|b| b.len() as u64).sum())
+    }
+}
+
+/// Follows a request on its way to the system, and can keep its last byte back.
+///
+/// Danger: hyper tells that a connection broke, not whether the request's last byte was written
+/// before. One that broke earlier never ran and may be sent again, an unsafe one too.
+#[derive(Default)]
+struct Meter {
+    /// Bytes of the head's end (CR LF CR LF) that have just passed.
+    head_end: Cell<usize>,
+    in_head: Cell<bool>,
+    body_left: Cell<u64>,
+    whole: Cell<bool>,
+    held: Cell<bool>,
+    waker: Cell<Option<Waker>>,
+}
+
+impl Meter {
+    fn begin(&self, body: u64) {
+        self.head_end.set(0);
+        self.in_head.set(true);
+        self.body_left.set(body);
+        self.whole.set(false);
+        self.held.set(true);
+    }
+
+    fn release(&self) {
+        self.held.set(false);
+        if let Some(waker) = self.waker.take() {
+            waker.wake();
+        }
+    }
+
+    /// Where in `bytes`, the next to be written, the head ends: the place after its last byte, or
+    /// how much of its end has passed.
+    fn scan(&self, bytes: &[u8]) -> Result<usize, usize> {
+        let mut seen = self.head_end.get();
+        for (i, &b) in bytes.iter().enumerate() {
+            seen = match (b, seen) {
+                (b'\r', 0 | 2) | (b'\n', 1 | 3) => seen + 1,
+                (b'\r', _) => 1,
+                _ => 0,
+            };
+            if seen == 4 {
+                return Ok(i + 1);
+            }
+        }
+        Err(seen)
+    }
+
+    /// Where in `bytes` the request ends, if it does.
+    fn end(&self, bytes: &[u8]) -> Option<usize> {
+        let head = if self.in_head.get() { self.scan(bytes).ok()? } else { 0 };
+        let left = usize::try_from(self.body_left.get()).ok()?;
+        head.checked_add(left).filter(|&end| end <= bytes.len())
+    }
+}
+
+impl Observer for Meter {
+    fn holds(&self) -> bool {
+        self.held.get()
+    }
+
+    fn allow(&self, bytes: &[u8], cx: &mut Context<'_>) -> Poll<usize> {
+        match self.end(bytes) {
+            Some(1) if self.held.get() => {
+                self.waker.set(Some(cx.waker().clone()));
+                Poll::Pending
+            }
+            Some(end) if self.held.get() && end > 1 => Poll::Ready(end - 1),
+            _ => Poll::Ready(bytes.len()),
+        }
+    }
+
+    fn on_write(&self, mut bytes: &[u8]) {
+        if self.in_head.get() {
+            match self.scan(bytes) {
+                Ok(end) => {
+                    self.in_head.set(false);
+                    bytes = &bytes[end..];
+                }
+                Err(seen) => return self.head_end.set(seen),
+            }
+        }
+        self.body_left.set(self.body_left.get().saturating_sub(bytes.len() as u64));
+        self.whole.set(self.body_left.get() == 0);
+    }
+}
+
+/// One connection. Dropping it closes it.
+struct Connection {
+    sender: SendRequest<Replay>,
+    socket: Rc<TcpStream>,
+    meter: Rc<Meter>,
+    task: AbortHandle,
+    dial: SocketAddr,
+    rested: Instant,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// An answer's head, as far as it matters to the client.
+pub type Head = HeaderMap;
+
+/// How far an attempt has come.
+pub enum Reached {
+    /// It is over. An answer served is whole.
+    End {
+        /// How it ended.
+        outcome: Outcome,
+        /// The load report that came with it.
+        report: LoadReport,
+        /// What was served.
+        answer: Option<(Head, Bytes)>,
+    },
+    /// A long answer has begun.
+    Long(Box<Long>),
+}
+
+impl Reached {
+    fn end(outcome: Outcome, report: LoadReport) -> Reached {
+        Reached::End { outcome, report, answer: None }
+    }
+}
+
+/// A long answer under way.
+pub struct Long {
+    /// Its head.
+    pub head: Head,
+    /// Its length, if it was announced.
+    pub length: Option<u64>,
+    /// The load report in its head.
+    pub report: LoadReport,
+    first: Option<Bytes>,
+    body: Incoming,
+    connection: Option<(ServerId, Connection)>,
+    upstream: Rc<Upstream>,
+}
+
+impl Long {
+    /// The next piece; None at the end of the whole answer.
+    pub async fn next(&mut self) -> Option<Result<Bytes, hyper::Error>> {
+        if let Some(first) = self.first.take() {
+            return Some(Ok(first));
+        }
+        loop {
+            match self.body.frame().await {
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) => return Some(Ok(data)),
+                    Err(_trailers) => continue,
+                },
+                Some(Err(e)) => return Some(Err(e)),
+                None => {
+                    if let Some((server, connection)) = self.connection.take() {
+                        self.upstream.rest(server, connection);
+                    }
+                    return None;
+                }
+            }
+        }
+    }
+}
+
+/// All connections to servers.
+pub struct Upstream {
+    idle: RefCell<HashMap<ServerId, Vec<Connection>>>,
+    sockets: Rc<Sockets>,
+    names: Rc<Names>,
+    connect_timeout: Duration,
+    retire: Duration,
+}
+
+impl Upstream {
+    /// `conn_idle` is how long servers say that they keep a connection at rest.
+    pub fn new(
+        sockets: Rc<Sockets>,
+        names: Rc<Names>,
+        connect_timeout: Duration,
+        conn_idle: Duration,
+    ) -> Rc<Upstream> {
+        let upstream = Rc::new(Upstream {
+            idle: RefCell::default(),
+            sockets,
+            names,
+            connect_timeout,
+            // Danger: what is written just as the server closes is lost as a reset. Connections are
+            // retired well before.
+            retire: conn_idle.mul_f64(0.7),
+        });
+        tokio::task::spawn_local(upstream.clone().sweep());
+        upstream
+    }
+
+    async fn sweep(self: Rc<Upstream>) {
+        loop {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            self.idle.borrow_mut().retain(|_, list| {
+                list.retain(|c| c.rested.elapsed() < self.retire && !c.sender.is_closed());
+                !list.is_empty()
+            });
+        }
+    }
+
+    /// Closes the connections to `server` that are at rest.
+    pub fn close_idle(&self, server: ServerId) {
+        self.idle.borrow_mut().remove(&server);
+    }
+
+    /// Keeps a connection for the next attempt.
+    fn rest(&self, server: ServerId, mut connection: Connection) {
+        connection.rested = Instant::now();
+        self.idle.borrow_mut().entry(server).or_default().push(connection);
+    }
+
+    /// The connection to `server` that has rested the shortest, if one is fit for use.
+    async fn reuse(&self, server: ServerId, dial: SocketAddr) -> Option<Connection> {
+        loop {
+            let mut connection = self.idle.borrow_mut().get_mut(&server)?.pop()?;
+            // Danger: a server may have closed it, or sent something unasked, since it was last
+            // looked at; hyper's own task sees that only when its turn comes.
+            if connection.dial != dial
+                || connection.rested.elapsed() >= self.retire
+                || connection.sender.is_closed()
+                || !stream::at_rest(&connection.socket)
+            {
+                continue;
+            }
+            if let Ok(Ok(())) = timeout(SETTLE, connection.sender.ready()).await {
+                return Some(connection);
+            }
+        }
+    }
+
+    /// A place for one more socket. A connection at rest makes room when there is none left.
+    async fn place(&self) -> Option<Place> {
+        if let Ok(place) = self.sockets.servers.clone().try_acquire_owned() {
+            return Some(place);
+        }
+        {
+            let mut idle = self.idle.borrow_mut();
+            let oldest = idle.iter().filter_map(|(&id, l)| Some((l.first()?.rested, id))).min();
+            if let Some(list) = oldest.and_then(|(_, id)| idle.get_mut(&id)) {
+                list.remove(0);
+            }
+        }
+        self.sockets.servers.clone().acquire_owned().await.ok()
+    }
+
+    async fn connect(&self, dial: SocketAddr) -> Option<Connection> {
+        let place = self.place().await?;
+        let socket = timeout(self.connect_timeout, TcpStream::connect(dial)).await.ok()?.ok()?;
+        socket.set_nodelay(true).ok()?;
+        let socket = Rc::new(socket);
+        let meter = Rc::new(Meter::default());
+        let io = TokioIo::new(Stream::new(socket.clone(), meter.clone()));
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(READ_AHEAD).allow_obsolete_multiline_headers_in_responses(true);
+        let (sender, driving) = builder.handshake(io).await.ok()?;
+        let task = tokio::task::spawn_local(async move {
+            let _place = place;
+            // How it ended shows in the attempt.
+            let _ = driving.await;
+        });
+        let task = task.abort_handle();
+        Some(Connection { sender, socket, meter, task, dial, rested: Instant::now() })
+    }
+
+    /// One attempt at `server`, to be dropped when it is no longer waited for.
+    pub async fn attempt(
+        self: &Rc<Upstream>,
+        server: ServerId,
+        dial: SocketAddr,
+        spec: &Rc<Spec>,
+        until: Instant,
+    ) -> Reached {
+        let mut old = self.reuse(server, dial).await;
+        loop {
+            let reused = old.is_some();
+            let connection = match old.take() {
+                Some(connection) => Some(connection),
+                None => self.connect(dial).await,
+            };
+            let Some(mut connection) = connection else {
+                return Reached::end(Outcome::ConnectFailed, LoadReport::default());
+            };
+            match self.ask(&mut connection, spec, until).await {
+                Ok(response) => return self.answer(server, connection, response).await,
+                Err(_) if connection.meter.whole.get() => {
+                    return Reached::end(Outcome::Reset, LoadReport::default());
+                }
+                // Danger: a connection that has rested may be reset by the first byte written to
+                // it. The server has not begun on the request, so it gets it on a new connection.
+                Err(_) if reused => continue,
+                Err(_) => return Reached::end(Outcome::ConnectFailed, LoadReport::default()),
+            }
+        }
+    }
+
+    /// Writes the request and waits for the head of its answer.
+    async fn ask(
+        &self,
+        connection: &mut Connection,
+        spec: &Rc<Spec>,
+        until: Instant,
+    ) -> hyper::Result<Response<Incoming>> {
+        let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
+        let mut request = Request::new(Replay { spec: spec.clone(), next: 0 });
+        *request.method_mut() = spec.method.clone();
+        *request.uri_mut() = spec.target.clone();
+        *request.headers_mut() = spec.headers.clone();
+        let headers = request.headers_mut();
+        headers.insert("x-time-left-ms", HeaderValue::from(left));
+        if let Ok(host) = HeaderValue::try_from(connection.dial.to_string()) {
+            headers.entry(HOST).or_insert(host);
+        }
+        if spec.method != Method::GET {
+            headers.insert(hyper::header::CONTENT_LENGTH, HeaderValue::from(spec.len()));
+        }
+        let meter = connection.meter.clone();
+        meter.begin(spec.len());
+        let mut sending = pin!(connection.sender.send_request(request));
+        // Danger: a connection that has rested may be reset by the first byte written to it, and
+        // any connection while a request comes. With its last byte still here, it never ran.
+        let trial = if spec.repeatable { TRIAL } else { LONG_TRIAL };
+        if let Ok(result) = timeout(trial, &mut sending).await {
+            return result;
+        }
+        meter.release();
+        sending.await
+    }
+
+    async fn answer(
+        self: &Rc<Upstream>,
+        server: ServerId,
+        connection: Connection,
+        response: Response<Incoming>,
+    ) -> Reached {
+        let (head, body) = response.into_parts();
+        let report = head.headers.get("x-backend-load").and_then(|v| v.to_str().ok());
+        let report = report.map(|text| self.names.report(text)).unwrap_or_default();
+        let turned_away =
+            matches!(head.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT)
+                && head.headers.get("x-unprocessed").is_some_and(|v| v == "1");
+        if head.status != StatusCode::OK {
+            tokio::task::spawn_local(self.clone().discard(server, connection, body));
+            return Reached::end(if turned_away { Outcome::Full } else { Outcome::Error }, report);
+        }
+        let length = body.size_hint().exact();
+        let mut long = Long {
+            head: head.headers,
+            length,
+            report,
+            first: None,
+            body,
+            connection: Some((server, connection)),
+            upstream: self.clone(),
+        };
+        let mut whole = Vec::new();
+        loop {
+            match long.next().await {
+                Some(Ok(piece)) => whole.extend_from_slice(&piece),
+                Some(Err(_)) => return Reached::end(Outcome::Reset, long.report),
+                None => {
+                    let answer = Some((long.head, whole.into()));
+                    return Reached::End { outcome: Outcome::Served, report: long.report, answer };
+                }
+            }
+            if whole.len() > WHOLE || length.is_some_and(|l| l > WHOLE as u64) {
+                long.first = Some(whole.into());
+                return Reached::Long(Box::new(long));
+            }
+        }
+    }
+
+    /// Reads what is left of a short answer, so that its connection can be used again.
+    async fn discard(self: Rc<Upstream>, server: ServerId, connection: Connection, body: Incoming) {
+        let limited = http_body_util::Limited::new(body, WHOLE);
+        if let Ok(Ok(_)) = timeout(DISCARD, limited.collect()).await {
+            self.rest(server, connection);
+        }
+    }
+
+    /// Asks a server how it is, on a connection of its own.
+    pub async fn probe(&self, dial: SocketAddr, with_report: bool) -> (Outcome, LoadReport) {
+        let none = LoadReport::default();
+        let asked = async {
+            let Some(mut connection) = self.connect(dial).await else {
+                return (Outcome::ConnectFailed, none.clone());
+            };
+            let spec = Spec {
+                method: Method::GET,
+                target: hyper::Uri::from_static(if with_report {
+                    "/stats"
+                } else {
+                    "/health/live"
+                }),
+                headers: HeaderMap::new(),
+                repeatable: true,
+                body: Vec::new(),
+                account: Account::default(),
+            };
+            let until = Instant::now() + self.connect_timeout;
+            let answer = self.ask(&mut connection, &Rc::new(spec), until).await;
+            let Ok((head, body)) = answer.map(Response::into_parts) else {
+                return (Outcome::Reset, none.clone());
+            };
+            let Ok(body) = http_body_util::Limited::new(body, WHOLE).collect().await else {
+                return (Outcome::Reset, none.clone());
+            };
+            let outcome =
+                if head.status == StatusCode::OK { Outcome::Served } else { Outcome::Error };
+            let text = String::from_utf8_lossy(&body.to_bytes()).into_owned();
+            (outcome, self.names.report(&text))
+        };
+        let patience = self.connect_timeout + Duration::from_secs(1);
+        timeout(patience, asked).await.unwrap_or((Outcome::TimedOut, LoadReport::default()))
+    }
+}
--- /dev/null
+++ b/tests/adapter.rs
@@ -0,0 +1,102 @@
+//! The adapter as a process: what it says of bad input, and how it ends.
+
+mod common;
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+fn run(input: &[u8]) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_coppercart-adapter"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the adapter starts");
+    // The adapter may end before it has read all: a broken pipe is no failure here.
+    let _ = child.stdin.take().expect("piped").write_all(input);
+    child.wait_with_output().expect("the adapter ends")
+}
+
+fn record(fields: &[&[u8]]) -> Vec<u8> {
+    let mut r: Vec<u8> = fields.concat();
+    r.resize(40, 0);
+    r
+}
+
+fn frame(records: &[Vec<u8>], tail: &[u8]) -> Vec<u8> {
+    let len = 16 + 40 * records.len() + tail.len();
+    let mut f = (len as u32).to_le_bytes().to_vec();
+    f.extend(1_000_000u64.to_le_bytes());
+    f.extend((records.len() as u32).to_le_bytes());
+    f.extend(records.concat());
+    f.extend_from_slice(tail);
+    f
+}
+
+fn on(instance: u16) -> Vec<u8> {
+    record(&[&[11], &instance.to_le_bytes()])
+}
+
+fn up(settings: &str) -> Vec<u8> {
+    let len = (settings.len() as u32).to_le_bytes();
+    record(&[&[0], &7u64.to_le_bytes(), &0u32.to_le_bytes(), &len])
+}
+
+fn complaint(out: &Output) -> String {
+    assert_eq!(out.status.code(), Some(1));
+    let text = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert_eq!(text.lines().count(), 1, "{text}");
+    text
+}
+
+#[test]
+fn end_of_input_is_a_clean_end() {
+    let out = run(&[]);
+    assert_eq!(out.status.code(), Some(0));
+    let out = run(&frame(&[], &[]));
+    assert_eq!(out.status.code(), Some(0));
+    assert_eq!(out.stdout, [8, 0, 0, 0, 0, 0, 0, 0]);
+}
+
+#[test]
+fn malformed_frames_end_with_one_plain_line_and_no_reply() {
+    let cut = &frame(&[on(3)], &[])[..30];
+    let out = run(cut);
+    assert!(complaint(&out).contains("input ends at byte 30"));
+    assert!(out.stdout.is_empty());
+    let undefined = frame(&[on(3), record(&[&[1], &[0; 5], &[4]])], &[]);
+    let out = run(&undefined);
+    assert!(complaint(&out).contains("list"));
+    assert!(out.stdout.is_empty());
+}
+
+#[test]
+fn settings_that_cannot_serve_are_a_fault_that_names_the_key() {
+    let mut json = common::settings_json();
+    json["me"] = 9.into();
+    for (text, key) in [(json.to_string(), "me"), ("nonsense".into(), "settings")] {
+        let out = run(&frame(&[on(3), up(&text)], text.as_bytes()));
+        assert!(complaint(&out).contains(key));
+        let reply = String::from_utf8_lossy(&out.stdout).into_owned();
+        assert!(reply.contains(key), "FAULT carries the text: {reply:?}");
+    }
+}
+
+#[test]
+fn unknown_records_are_skipped_and_told_once() {
+    let odd = record(&[&[77]]);
+    let out = run(&frame(&[on(3), odd.clone(), odd], &[]));
+    assert_eq!(out.status.code(), Some(0));
+    let text = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert_eq!(text.matches("77").count(), 1, "{text}");
+}
+
+#[test]
+fn an_instance_may_stop_and_start_in_one_batch() {
+    let text = common::settings_json().to_string();
+    let exit = record(&[&[9]]);
+    let records = [on(3), up(&text), exit, up(&text)];
+    let out = run(&frame(&records, text.as_bytes()));
+    assert_eq!(out.status.code(), Some(0));
+    assert_eq!(out.stdout, [8, 0, 0, 0, 0, 0, 0, 0]);
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,170 @@
+//! A small driver for the tests: settings, servers, and a balancer with its actions at hand.
+#![allow(dead_code)]
+
+use coppercart::api::*;
+use coppercart::decide::Balancer;
+use coppercart::settings::Settings;
+use serde_json::{Value, json};
+
+pub const MS: Micros = 1_000;
+pub const S: Micros = 1_000_000;
+pub const START: Micros = 1_000 * S;
+
+/// Settings with a safe class (0), a keyed one whose group is a zone (1) and an unsafe one (2).
+pub fn settings_json() -> Value {
+    json!({
+        "classes": [
+            {"name": "look", "aim": 200_000, "deadline": 1_000_000, "repeat": "idempotent",
+             "dedupScope": "all", "window": 5_000_000, "credit": 1.0, "lateWorth": 0.2},
+            {"name": "keep", "aim": 300_000, "deadline": 1_500_000, "repeat": "deduplicated",
+             "dedupScope": "zone", "window": 700_000, "credit": 8.0, "lateWorth": 0.2},
+            {"name": "order", "aim": 300_000, "deadline": 1_500_000, "repeat": "at_most_once",
+             "dedupScope": "all", "window": 5_000_000, "credit": 8.0, "lateWorth": 0.2}
+        ],
+        "discovery": "pushed",
+        "goal": {"whole": 0.6, "worstClass": 0.1, "worstTenant": 0.0, "worstWindow": 0.3},
+        "instances": 3,
+        "limits": {"cancel": true, "connIdle": 10_000_000, "connectTimeout": 75_000,
+                   "maxAttempts": 6, "maxOpen": 1000, "mayDuplicate": true, "mayTell": false,
+                   "probing": false, "retryAfter": false, "streamsPerConn": 1},
+        "me": 0,
+        "prices": {},
+        "report": {"columns": ["q", "rif"], "how": "piggyback"},
+        "rules": {"answerSlack": 8000, "cold": 20_000_000, "coldShare": 0.2, "fallMultiple": 3.0,
+                  "mustAskIn": 10_000_000, "stopSendingWithin": 500_000, "tipAfter": 2_000_000},
+        "tenants": [],
+        "tick": 2000,
+        "weightKind": "silent",
+        "worthBy": "work",
+        "zone": 0,
+        "zones": ["a", "b"]
+    })
+}
+
+pub fn settings(change: impl FnOnce(&mut Value)) -> Settings {
+    let mut json = settings_json();
+    change(&mut json);
+    Settings::from_json(json.to_string().as_bytes()).expect("the test's settings are sound")
+}
+
+pub fn server(n: u64) -> ServerEntry {
+    ServerEntry {
+        id: ServerId(n),
+        zone: (n % 2) as u8,
+        kind: 0,
+        cell: (n / 2) as u16,
+        health: Health::Ready,
+        power: 1.0,
+        started: 0,
+    }
+}
+
+pub fn with_health(n: u64, health: Health) -> ServerEntry {
+    ServerEntry { health, ..server(n) }
+}
+
+pub fn report(queue: f32) -> LoadReport {
+    LoadReport([queue, queue].into_iter().collect())
+}
+
+/// One balancer under test.
+pub struct Bench {
+    pub balancer: Balancer,
+    pub now: Micros,
+    pub out: Vec<Action>,
+    next: u64,
+    key: u64,
+}
+
+impl Bench {
+    pub fn new(settings: Settings, seed: u64, servers: &[ServerEntry]) -> Bench {
+        let mut bench = Bench {
+            balancer: Balancer::new(settings, seed, START),
+            now: START,
+            out: Vec::new(),
+            next: 0,
+            key: 0,
+        };
+        bench.servers(ListKind::Remembered, servers);
+        bench
+    }
+
+    pub fn event(&mut self, event: Event<'_>) -> Vec<Action> {
+        self.balancer.handle(self.now, event, &mut self.out);
+        std::mem::take(&mut self.out)
+    }
+
+    pub fn servers(&mut self, kind: ListKind, entries: &[ServerEntry]) -> Vec<Action> {
+        self.event(Event::Servers { kind, entries })
+    }
+
+    pub fn request(&mut self, class: usize) -> (RequestId, Vec<Action>) {
+        self.request_with(class, None)
+    }
+
+    pub fn request_for(&mut self, key: u64) -> (RequestId, Vec<Action>) {
+        self.key = key;
+        let sent = self.request(0);
+        self.key = 0;
+        sent
+    }
+
+    pub fn request_with(&mut self, class: usize, hint: Option<Micros>) -> (RequestId, Vec<Action>) {
+        self.next += 1;
+        let id = RequestId(self.next);
+        let out = self.event(Event::Request(NewRequest {
+            id,
+            class,
+            tenant: 0,
+            key: self.key,
+            left: S,
+            hint,
+            repeat: false,
+        }));
+        (id, out)
+    }
+
+    pub fn answer(
+        &mut self,
+        id: RequestId,
+        attempt: usize,
+        server: ServerId,
+        outcome: Outcome,
+        queue: f32,
+    ) -> Vec<Action> {
+        self.event(Event::Answer {
+            id,
+            attempt,
+            server,
+            outcome,
+            latency: 20 * MS,
+            finished: outcome == Outcome::Served,
+            report: report(queue),
+        })
+    }
+
+    /// Sends one request and has it answered after 20 ms; tells where it went, if anywhere.
+    pub fn round(&mut self, class: usize, queue: f32) -> Option<ServerId> {
+        let (id, out) = self.request(class);
+        let to = sent(&out)?;
+        self.now += 20 * MS;
+        self.answer(id, 0, to, Outcome::Served, queue);
+        Some(to)
+    }
+}
+
+/// Where the first send among these actions goes.
+pub fn sent(actions: &[Action]) -> Option<ServerId> {
+    actions.iter().find_map(|a| match a {
+        Action::Send { server, .. } => Some(*server),
+        _ => None,
+    })
+}
+
+pub fn refused(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Refuse { .. }))
+}
+
+pub fn failed(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Fail { .. }))
+}
--- /dev/null
+++ b/tests/decide.rs
@@ -0,0 +1,561 @@
+//! The mechanism and each failure found, driven through `handle`.
+
+mod common;
+
+use common::*;
+use coppercart::api::*;
+
+#[test]
+fn the_same_events_give_the_same_actions() {
+    let servers: Vec<_> = (0..5).map(server).collect();
+    let run = |seed| {
+        let mut b = Bench::new(settings(|_| {}), seed, &servers);
+        (0..200).map(|i| b.round(i % 3, (i % 7) as f32)).collect::<Vec<_>>()
+    };
+    assert_eq!(run(7), run(7));
+    assert_ne!(run(7), run(8));
+}
+
+#[test]
+fn a_request_refused_as_full_goes_elsewhere_at_once() {
+    let mut b = Bench::new(settings(|_| {}), 1, &[server(0), server(2)]);
+    for class in 0..3 {
+        let (id, out) = b.request(class);
+        let first = sent(&out).expect("sent");
+        let again = b.answer(id, 0, first, Outcome::Full, 0.0);
+        let second = sent(&again).expect("sent again, it never ran");
+        assert_ne!(first, second);
+        b.answer(id, 1, second, Outcome::Served, 0.0);
+        b.now += 3 * S;
+    }
+}
+
+#[test]
+fn an_unsafe_request_that_may_have_run_only_fails() {
+    for outcome in [Outcome::Error, Outcome::Reset, Outcome::TimedOut] {
+        let mut b = Bench::new(settings(|_| {}), 1, &[server(0), server(2)]);
+        let (id, out) = b.request(2);
+        let to = sent(&out).expect("sent");
+        let out = b.answer(id, 0, to, outcome, 0.0);
+        assert!(sent(&out).is_none() && !refused(&out) && failed(&out));
+    }
+}
+
+#[test]
+fn a_keyed_request_is_repeated_in_its_group_only() {
+    for seed in 0..20 {
+        let servers: Vec<_> = (0..8).map(server).collect();
+        let mut b = Bench::new(settings(|_| {}), seed, &servers);
+        let (id, out) = b.request(1);
+        let first = sent(&out).expect("sent");
+        let out = b.answer(id, 0, first, Outcome::Reset, 0.0);
+        match sent(&out) {
+            Some(second) => assert_eq!(first.0 % 2, second.0 % 2, "another zone"),
+            None => assert!(failed(&out), "its group is not all: no refusal"),
+        }
+    }
+}
+
+#[test]
+fn a_keyed_request_is_not_repeated_after_its_window() {
+    let servers: Vec<_> = (0..8).map(server).collect();
+    let mut b = Bench::new(settings(|_| {}), 3, &servers);
+    let (id, out) = b.request(1);
+    let first = sent(&out).expect("sent");
+    b.now += 701 * MS;
+    let out = b.answer(id, 0, first, Outcome::Reset, 0.0);
+    assert!(sent(&out).is_none() && failed(&out));
+}
+
+#[test]
+fn a_drained_server_gets_nothing() {
+    let mut b = Bench::new(settings(|_| {}), 1, &[server(0), server(1)]);
+    b.servers(ListKind::Changes, &[with_health(0, Health::Draining)]);
+    for _ in 0..50 {
+        assert_eq!(b.round(0, 0.0), Some(ServerId(1)));
+    }
+    b.servers(ListKind::Whole, &[server(2)]);
+    for _ in 0..50 {
+        assert_eq!(b.round(0, 0.0), Some(ServerId(2)));
+    }
+}
+
+#[test]
+fn no_server_at_all_is_a_refusal() {
+    let mut b = Bench::new(settings(|_| {}), 1, &[]);
+    for class in 0..3 {
+        let (_, out) = b.request(class);
+        assert!(refused(&out));
+    }
+}
+
+/// Slow start: many sidecars counted together, each assuming the others do likewise. A cold
+/// server's share of sends must stay under the multiple of its present capacity's share.
+#[test]
+fn all_sidecars_together_spare_a_cold_server() {
+    let n = 10;
+    let mut cold = server(n);
+    cold.started = START;
+    let (mut to_cold, mut all) = (0, 0);
+    for seed in 0..300 {
+        let servers: Vec<_> = (0..n).map(server).collect();
+        let mine = settings(|s| {
+            s["instances"] = 300.into();
+            s["me"] = seed.into();
+        });
+        let mut b = Bench::new(mine, seed, &servers);
+        for _ in 0..10 {
+            b.round(0, 1.0);
+        }
+        b.now = START + S;
+        b.servers(ListKind::Changes, &[cold.clone()]);
+        for _ in 0..10 {
+            all += 1;
+            to_cold += u32::from(b.round(0, 1.0) == Some(cold.id));
+        }
+    }
+    let share = f64::from(to_cold) / f64::from(all);
+    // Present capacity is 0.2 to 0.25 of a server's; ten others are warm; the multiple is 3.
+    let due = 0.25 / 10.25;
+    assert!(share < 2.5 * due, "share {share}, due {due}");
+    assert!(share > 0.2 * due, "it must warm up: {share}");
+}
+
+#[test]
+fn a_hung_server_draws_one_trial_at_a_time() {
+    let mut b = Bench::new(settings(|_| {}), 5, &[server(0), server(2), server(4)]);
+    let hung = ServerId(0);
+    let (mut lost, mut open) = (0, Vec::new());
+    for _ in 0..400 {
+        let (id, out) = b.request(0);
+        let Some(to) = sent(&out) else { continue };
+        if to == hung {
+            lost += 1;
+            open.push((id, b.now));
+        } else {
+            b.now += 10 * MS;
+            b.answer(id, 0, to, Outcome::Served, 0.0);
+        }
+        while open.first().is_some_and(|&(_, at)| b.now >= at + S) {
+            let (id, _) = open.remove(0);
+            b.answer(id, 0, hung, Outcome::TimedOut, 0.0);
+        }
+    }
+    assert!(lost <= 6, "{lost} of 400 went to a hung server");
+}
+
+/// Found on a quiet stretch: an attempt called off left its server marked silent for ever, and
+/// sidecar after sidecar ran out of servers.
+#[test]
+fn a_cancelled_copy_does_not_silence_its_server() {
+    let mut b = Bench::new(settings(|_| {}), 1, &[server(0)]);
+    let (id, out) = b.request(0);
+    let to = sent(&out).expect("sent");
+    b.event(Event::ClientGone { id });
+    b.now += 5 * MS;
+    b.answer(id, 0, to, Outcome::Cancelled, 0.0);
+    b.now += 10 * S;
+    assert_eq!(b.round(0, 0.0), Some(to));
+}
+
+/// Rounds of 20 ms until a first capacity exists: the floor of four, as queues are empty.
+fn with_capacity(seed: u64) -> Bench {
+    let mut b = Bench::new(settings(|_| {}), seed, &[server(0), server(2)]);
+    for _ in 0..3200 {
+        b.round(0, 0.0);
+    }
+    b
+}
+
+/// Sends one request and answers it with a queue that depends on the server.
+fn round_by(b: &mut Bench, queue: impl Fn(ServerId) -> f32) -> ServerId {
+    let (id, out) = b.request(0);
+    let to = sent(&out).expect("sent");
+    b.now += 20 * MS;
+    b.answer(id, 0, to, Outcome::Served, queue(to));
+    to
+}
+
+#[test]
+fn a_report_past_capacity_wipes_chips_until_the_reset_interval() {
+    let mut b = with_capacity(1);
+    let busy = |s: ServerId| if s == ServerId(0) { 50.0 } else { 0.0 };
+    while round_by(&mut b, busy) != ServerId(0) {}
+    // ResetInterval is the longest deadline, 1.5 s here.
+    let wiped = b.now;
+    let mut to_busy = 0;
+    while b.now < wiped + 1400 * MS {
+        to_busy += u32::from(round_by(&mut b, busy) == ServerId(0));
+    }
+    assert_eq!(to_busy, 0, "a wiped server got sends while another held chips");
+    b.now = wiped + 1600 * MS;
+    let mut tries = 0;
+    while round_by(&mut b, busy) != ServerId(0) {
+        tries += 1;
+        assert!(tries < 50, "after ResetInterval the server is tried again");
+    }
+}
+
+#[test]
+fn before_a_first_capacity_nothing_counts_as_past_it() {
+    let mut b = Bench::new(settings(|_| {}), 1, &[server(0), server(2)]);
+    let busy = |s: ServerId| if s == ServerId(0) { 50.0 } else { 0.0 };
+    let to_busy = (0..100).filter(|_| round_by(&mut b, busy) == ServerId(0)).count();
+    assert!(to_busy > 0, "it still holds chips");
+}
+
+/// Algorithm 1: a report past 0.8 x capacity mints nothing, one of an empty queue always mints.
+/// Both servers report the same, so nothing but chips and chance tells them apart; with none
+/// minted, sends go on only by the least bad choice, which never leaves a request unsent.
+#[test]
+fn a_server_without_chips_gets_a_request_only_when_no_other_qualifies() {
+    for seed in 0..10 {
+        let mut b = with_capacity(seed);
+        // Past 0.8 x 4 but not past 4: no chip, no wipe. Server 2 goes on minting.
+        let by = |s: ServerId| if s == ServerId(0) { 3.6 } else { 0.0 };
+        let end = b.now + 1400 * MS;
+        let mut late_sends = 0;
+        let mut rounds = 0;
+        while b.now < end {
+            rounds += 1;
+            // The 16 chips a server can hold are spent after 16 sends at most.
+            late_sends += u32::from(round_by(&mut b, by) == ServerId(0));
+        }
+        assert!(late_sends <= 16, "{late_sends} of {rounds} sends for 16 chips at most");
+    }
+}
+
+/// Found in overload: a single late answer at a quiet sidecar shed what the fleet could serve.
+#[test]
+fn one_late_answer_does_not_shed_the_best_class() {
+    let mut b = Bench::new(settings(|_| {}), 2, &[server(0), server(2), server(4)]);
+    for _ in 0..5 {
+        b.round(0, 0.0);
+    }
+    let (id, out) = b.request(0);
+    let to = sent(&out).expect("sent");
+    b.now += S;
+    b.answer(id, 0, to, Outcome::TimedOut, 0.0);
+    for _ in 0..10 {
+        let (_, out) = b.request(2);
+        assert!(!refused(&out));
+    }
+}
+
+/// Load shedding: when all servers are late, what earns least for its work is refused first.
+#[test]
+fn overload_sheds_the_class_that_earns_least() {
+    let servers: Vec<_> = (0..4).map(server).collect();
+    let mut b = Bench::new(settings(|_| {}), 2, &servers);
+    let (mut cheap, mut dear) = (0, 0);
+    for i in 0..300 {
+        let class = if i % 2 == 0 { 0 } else { 2 };
+        let (id, out) = b.request(class);
+        match sent(&out) {
+            Some(to) => {
+                let latency = 170 * MS;
+                b.now += 20 * MS;
+                b.event(Event::Answer {
+                    id,
+                    attempt: 0,
+                    server: to,
+                    outcome: Outcome::Served,
+                    latency,
+                    finished: true,
+                    report: report(3.0),
+                });
+            }
+            None if class == 0 => cheap += 1,
+            None => dear += 1,
+        }
+    }
+    assert!(cheap > 50, "{cheap} cheap requests shed");
+    assert!(dear * 5 < cheap, "{dear} dear ones, {cheap} cheap ones");
+}
+
+/// Discovery: a sidecar that has lost its subscription asks again, and never in the same instant.
+#[test]
+fn a_failed_subscription_is_renewed_later() {
+    for seed in 0..20 {
+        let asked = settings(|s| s["discovery"] = "on_request".into());
+        let mut b = Bench::new(asked, seed, &[server(0)]);
+        let out = b.servers(ListKind::Failed, &[]);
+        let Some(Action::Timer { delay, token }) = out.first() else {
+            panic!("no timer: {out:?}");
+        };
+        assert!((S / 4..=10 * S).contains(delay), "{delay}");
+        b.now += delay;
+        let again = b.event(Event::Timer { token: *token });
+        assert!(again.contains(&Action::Subscribe));
+    }
+}
+
+/// Found with slow servers that still answer: they kept most of their share, and made it late.
+#[test]
+fn a_server_slower_than_its_peers_is_passed_over() {
+    let servers: Vec<_> = (0..4).map(server).collect();
+    let mut b = Bench::new(settings(|_| {}), 4, &servers);
+    let slow = ServerId(0);
+    let mut to_slow = 0;
+    for i in 0..400 {
+        let (id, out) = b.request(0);
+        let to = sent(&out).expect("sent");
+        if i >= 200 {
+            to_slow += u32::from(to == slow);
+        }
+        let latency = if to == slow { 90 * MS } else { 20 * MS };
+        b.now += latency;
+        b.event(Event::Answer {
+            id,
+            attempt: 0,
+            server: to,
+            outcome: Outcome::Served,
+            latency,
+            finished: true,
+            report: report(0.0),
+        });
+    }
+    assert!(to_slow < 20, "{to_slow} of 200 sends to the slow one of four");
+}
+
+/// Found by the bench's drill: an attempt was called off at its aim in the instant in which its
+/// stream began. A stream has no deadline, so the request never got its final answer.
+/// Danger: a connection that falls silent takes its request with it, though its server is well.
+/// What a much later request to the same server has overtaken gets a second copy, and is no sign
+/// of an overload; what nothing has overtaken waits.
+#[test]
+fn an_attempt_that_was_overtaken_gets_a_second_copy() {
+    for overtaken in [false, true] {
+        let servers: Vec<_> = (0..2).map(server).collect();
+        let mut b = Bench::new(settings(|_| {}), 5, &servers);
+        for _ in 0..20 {
+            b.round(0, 0.0);
+        }
+        let (stuck, out) = b.request(0);
+        let on = sent(&out).expect("sent");
+        let copy = out.iter().find_map(|a| match a {
+            Action::Timer { delay, token } if *delay == 100 * MS => Some(*token),
+            _ => None,
+        });
+        b.now += 30 * MS;
+        // Others go on being answered, by the same server too or by the other one alone.
+        for _ in 0..10 {
+            let (id, out) = b.request(0);
+            let to = sent(&out).expect("sent");
+            b.now += 5 * MS;
+            let outcome = if to == on && !overtaken { Outcome::Cancelled } else { Outcome::Served };
+            b.answer(id, 0, to, outcome, 0.0);
+        }
+        let out = b.event(Event::Timer { token: copy.expect("an alarm at half the aim") });
+        let again = out.iter().any(|a| matches!(a, Action::Send { id, .. } if *id == stuck));
+        assert_eq!(again, overtaken);
+    }
+}
+
+/// Danger: where networks reset connections now and then, a pause for each reset would leave too
+/// few servers. Only a second failure in a row makes a server wait.
+#[test]
+fn a_lone_reset_is_no_reason_for_a_pause() {
+    let mut b = Bench::new(settings(|_| {}), 2, &[server(0)]);
+    for expected in [Some(ServerId(0)), Some(ServerId(0)), None] {
+        let (id, out) = b.request(0);
+        assert_eq!(sent(&out), expected);
+        b.now += MS;
+        b.answer(id, 0, ServerId(0), Outcome::Reset, 0.0);
+    }
+}
+
+/// Danger: a server is not silent, and its answers are not late, while a long one is under way.
+#[test]
+fn a_long_answer_under_way_is_not_waited_for() {
+    let mut b = Bench::new(settings(|_| {}), 7, &[server(0)]);
+    for n in 0..20 {
+        let (id, out) = b.request(0);
+        assert_eq!(sent(&out), Some(ServerId(0)), "request {n}");
+        b.now += 20 * MS;
+        b.event(Event::FirstByte { id, attempt: 0 });
+        b.now += 600 * MS;
+        for token in 2 * n..2 * (n + 1) {
+            assert_eq!(b.event(Event::Timer { token }), []);
+        }
+    }
+}
+
+#[test]
+fn a_stream_that_was_called_off_still_ends() {
+    let mut b =
+        Bench::new(settings(|s| s["classes"][2]["streaming"] = true.into()), 1, &[server(0)]);
+    let (id, out) = b.request(2);
+    let to = sent(&out).expect("sent");
+    b.event(Event::FirstByte { id, attempt: 0 });
+    b.now += 4 * MS;
+    let out = b.answer(id, 0, to, Outcome::Cancelled, 0.0);
+    assert_eq!(out, vec![Action::Fail { id }]);
+}
+
+/// Found where queues are short: each refusal as full counted as a late answer, and half of the
+/// requests were refused at the door while other servers had room.
+#[test]
+fn refusals_as_full_elsewhere_do_not_shed() {
+    let servers: Vec<_> = (0..8).map(server).collect();
+    let mut b = Bench::new(settings(|_| {}), 3, &servers);
+    for _ in 0..200 {
+        let (id, out) = b.request(0);
+        let first = sent(&out).expect("not shed");
+        b.now += MS;
+        let out = b.answer(id, 0, first, Outcome::Full, 0.0);
+        let second = sent(&out).expect("tried elsewhere");
+        b.now += 20 * MS;
+        b.answer(id, 1, second, Outcome::Served, 0.0);
+    }
+}
+
+/// Found where open connections cost: four or more of each sidecar's stayed open, and servers
+/// outside of its subset kept one each after a single retry.
+#[test]
+fn dear_connections_are_few_and_closed() {
+    let servers: Vec<_> = (0..30).map(server).collect();
+    let dear = settings(|s| {
+        s["instances"] = 600.into();
+        s["prices"] = serde_json::json!({"connection": 0.075});
+    });
+    let mut b = Bench::new(dear, 5, &servers);
+    let mut kept = std::collections::BTreeSet::new();
+    for _ in 0..100 {
+        let (id, out) = b.request(0);
+        let to = sent(&out).expect("sent");
+        b.now += 20 * MS;
+        let out = b.answer(id, 0, to, Outcome::Served, 0.0);
+        if !out.contains(&Action::CloseIdle { server: to }) {
+            kept.insert(to.0);
+        }
+        b.now += 2 * S;
+    }
+    // 0.05 x 100 x 30 servers / (0.075 x 600 instances) = 3.3
+    assert!(kept.len() <= 3, "{kept:?}");
+}
+
+/// Found with short queues and a release: what full servers refused was tried again on the cold
+/// ones, which fell over.
+#[test]
+fn a_cold_server_gets_no_retry() {
+    for seed in 0..50 {
+        let cold = ServerEntry { started: START - S, ..server(0) };
+        let mut b = Bench::new(settings(|_| {}), seed, &[cold.clone(), server(1), server(2)]);
+        let (id, mut out) = b.request(0);
+        for attempt in 0.. {
+            let Some(to) = sent(&out) else { break };
+            assert!(attempt == 0 || to != cold.id, "attempt {attempt} went to the cold server");
+            b.now += MS;
+            out = b.answer(id, attempt, to, Outcome::Full, 0.0);
+        }
+    }
+}
+
+/// Found with rough hints of work: heavy requests made the fleet look full.
+#[test]
+fn announced_work_is_no_overload() {
+    let servers: Vec<_> = (0..8).map(server).collect();
+    let shed = |hinted: bool| {
+        let mut b = Bench::new(settings(|_| {}), 4, &servers);
+        let mut shed = 0;
+        for i in 0..2000 {
+            let (work, latency) = if i % 4 == 0 { (80 * MS, 190 * MS) } else { (10 * MS, 60 * MS) };
+            let (id, out) = b.request_with(0, hinted.then_some(work));
+            b.now += 50 * MS;
+            let Some(to) = sent(&out) else {
+                shed += 1;
+                continue;
+            };
+            b.event(Event::Answer {
+                id,
+                attempt: 0,
+                server: to,
+                outcome: Outcome::Served,
+                latency,
+                finished: true,
+                report: report(1.0),
+            });
+        }
+        shed
+    };
+    let (without, with) = (shed(false), shed(true));
+    assert!(without > 20 && with * 2 < without, "shed {without} unannounced, {with} announced");
+}
+
+/// Found where there is one class only: half of its requests were refused for the sake of none,
+/// while answers took three fifths of their aim.
+#[test]
+fn equals_are_not_shed_early() {
+    let servers: Vec<_> = (0..8).map(server).collect();
+    let shed = |class: usize| {
+        let mut b = Bench::new(settings(|_| {}), 4, &servers);
+        let mut shed = 0;
+        for _ in 0..400 {
+            let (id, out) = b.request(class);
+            let latency = if class == 0 { 125 * MS } else { 190 * MS };
+            b.now += 50 * MS;
+            let Some(to) = sent(&out) else {
+                shed += 1;
+                continue;
+            };
+            b.event(Event::Answer {
+                id,
+                attempt: 0,
+                server: to,
+                outcome: Outcome::Served,
+                latency,
+                finished: true,
+                report: report(1.0),
+            });
+        }
+        shed
+    };
+    assert!(shed(0) > 100, "class 0 earns an eighth of the best: {}", shed(0));
+    assert_eq!(shed(2), 0, "none earns more than class 2");
+}
+
+/// Found where servers are warm for keys they met lately: a key wandered over the whole fleet.
+/// Most sidecars send it to one server; a hot one, met again at once, goes anywhere.
+#[test]
+fn a_key_goes_home_unless_it_is_hot() {
+    let servers: Vec<_> = (0..16).map(server).collect();
+    let most_at_one = |warm: bool, times: u64| {
+        let mut met = std::collections::BTreeMap::new();
+        for me in 0..60 {
+            let mine = settings(|s| {
+                s["instances"] = 60.into();
+                s["me"] = me.into();
+                s["familyInfo"] = serde_json::json!({"warmKeys": warm});
+            });
+            let mut b = Bench::new(mine, me, &servers);
+            for _ in 0..times {
+                let (id, out) = b.request_for(77);
+                let to = sent(&out).expect("sent");
+                b.now += S;
+                b.answer(id, 0, to, Outcome::Served, 0.0);
+                *met.entry(to).or_insert(0_u64) += 1;
+            }
+        }
+        *met.values().max().expect("some were sent") as f64 / (60 * times) as f64
+    };
+    assert!(most_at_one(true, 1) > 0.9, "{}", most_at_one(true, 1));
+    assert!(most_at_one(false, 1) < 0.3, "{}", most_at_one(false, 1));
+    assert!(most_at_one(true, 40) < 0.3, "{}", most_at_one(true, 40));
+}
+
+/// Found with five zones: each far server had a low weight, but all of them together were drawn
+/// for a third of the picks, and won the ties of idle days.
+#[test]
+fn idle_days_stay_at_home() {
+    let servers: Vec<_> =
+        (0..40).map(|n| ServerEntry { zone: u8::from(n >= 8), ..server(n) }).collect();
+    let priced = settings(|s| s["prices"] = serde_json::json!({"crossZone": 0.08}));
+    let mut b = Bench::new(priced, 6, &servers);
+    let mut far = 0;
+    for _ in 0..1000 {
+        let to = b.round(0, 0.0).expect("sent");
+        far += u32::from(to.0 >= 8);
+    }
+    assert!(far < 60, "{far} of 1000 crossed");
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,313 @@
+//! Random event sequences against a checker of rules 1 to 3 that knows nothing of the module's
+//! insides: it keeps its own books of requests, attempts and lists.
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use common::*;
+use coppercart::api::*;
+use coppercart::decide::Balancer;
+use proptest::prelude::*;
+
+const SLACK: Micros = 8 * MS;
+const SERVERS: u64 = 6;
+const CLASSES: [(&str, bool); 3] = [("safe", true), ("keyed", false), ("unsafe", false)];
+const WINDOW: Micros = 700 * MS;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Request { class: usize, left: Micros },
+    Outcome { which: usize, how: u8, queue: f32 },
+    Wait(Micros),
+    Health { server: u64, health: u8, restart: bool },
+    Whole { mask: u8 },
+    Gone { which: usize },
+    Failed,
+}
+
+#[derive(Debug)]
+struct Sent {
+    server: ServerId,
+    zone: u8,
+    at: Micros,
+    out: bool,
+    never_ran: bool,
+    due: Micros,
+}
+
+#[derive(Debug)]
+struct Book {
+    class: usize,
+    deadline: Micros,
+    finals: usize,
+    gone: bool,
+    sent: Vec<Sent>,
+}
+
+struct World {
+    balancer: Balancer,
+    now: Micros,
+    books: BTreeMap<RequestId, Book>,
+    timers: BTreeSet<(Micros, u32)>,
+    healthy: BTreeSet<ServerId>,
+    may_duplicate: bool,
+    max_attempts: usize,
+}
+
+impl World {
+    fn event(&mut self, event: Event<'_>) {
+        let mut out = Vec::new();
+        self.balancer.handle(self.now, event, &mut out);
+        for action in out {
+            self.check(action);
+        }
+    }
+
+    fn check(&mut self, action: Action) {
+        match action {
+            Action::Send { id, server, timeout } => {
+                assert!(self.healthy.contains(&server), "rule 3: {server:?}");
+                let zone = (server.0 % 2) as u8;
+                let may_duplicate = self.may_duplicate;
+                let b = self.books.get_mut(&id).expect("a known request");
+                assert!(b.finals == 0 && !b.gone, "rule 1: sent after the end");
+                assert!(b.sent.len() < self.max_attempts);
+                if !may_duplicate {
+                    assert!(b.sent.iter().all(|s| !s.out), "two attempts out");
+                }
+                match CLASSES[b.class].0 {
+                    "unsafe" => assert!(b.sent.iter().all(|s| s.never_ran), "rule 2"),
+                    "keyed" => {
+                        for s in b.sent.iter().filter(|s| !s.never_ran) {
+                            assert_eq!(s.zone, zone, "rule 2: another group");
+                            assert!(self.now - s.at <= WINDOW, "rule 2: window over");
+                        }
+                    }
+                    _ => {}
+                }
+                let left = b.deadline - self.now;
+                let wait = if timeout == 0 { left } else { timeout.min(left) };
+                b.sent.push(Sent {
+                    server,
+                    zone,
+                    at: self.now,
+                    out: true,
+                    never_ran: false,
+                    due: self.now + wait,
+                });
+            }
+            Action::Refuse { id, .. } => {
+                let b = self.books.get_mut(&id).expect("a known request");
+                let harmless = CLASSES[b.class].1 || b.sent.iter().all(|s| s.never_ran);
+                assert!(harmless, "rule 2: refused what may have run");
+                b.finals += 1;
+            }
+            Action::Fail { id } => self.books.get_mut(&id).expect("a known request").finals += 1,
+            Action::Cancel { id, attempt } => {
+                assert!(attempt < self.books[&id].sent.len(), "an attempt never made");
+            }
+            Action::Timer { delay, token } => {
+                self.timers.insert((self.now + delay.max(1), token));
+            }
+            _ => {}
+        }
+    }
+
+    fn outcome(&mut self, id: RequestId, attempt: usize, outcome: Outcome, queue: f32) {
+        let b = self.books.get_mut(&id).expect("a known request");
+        let s = &mut b.sent[attempt];
+        s.out = false;
+        s.never_ran = outcome.never_ran();
+        let (server, latency) = (s.server, self.now - s.at);
+        let served = outcome == Outcome::Served;
+        if served && b.finals == 0 && !b.gone {
+            b.finals = 1;
+        }
+        let finished = b.finals > 0 || b.gone;
+        self.event(Event::Answer {
+            id,
+            attempt,
+            server,
+            outcome,
+            latency,
+            finished,
+            report: report(queue),
+        });
+    }
+
+    /// Moves the clock on, playing time-outs and timers as they fall due.
+    fn advance(&mut self, to: Micros) {
+        loop {
+            let timer = self.timers.first().map(|&(at, _)| at);
+            let timeout = self
+                .books
+                .iter()
+                .flat_map(|(id, b)| {
+                    let open = b.sent.iter().enumerate().filter(|(_, s)| s.out);
+                    open.map(move |(n, s)| (s.due, *id, n))
+                })
+                .min();
+            let next = timer.into_iter().chain(timeout.map(|t| t.0)).min();
+            match next {
+                Some(at) if at <= to => {
+                    self.now = self.now.max(at);
+                    match timeout {
+                        Some((due, id, n)) if due == at => {
+                            self.outcome(id, n, Outcome::TimedOut, 0.0);
+                        }
+                        _ => {
+                            let (_, token) = self.timers.pop_first().expect("a timer is due");
+                            self.event(Event::Timer { token });
+                        }
+                    }
+                }
+                _ => break,
+            }
+            self.ended_in_time();
+        }
+        self.now = to;
+        self.ended_in_time();
+    }
+
+    fn ended_in_time(&self) {
+        for (id, b) in &self.books {
+            assert!(b.finals <= 1, "rule 1: {id:?} ended twice");
+            let late = self.now > b.deadline + SLACK;
+            assert!(!late || b.finals == 1 || b.gone, "rule 1: {id:?} lost");
+        }
+    }
+
+    fn step(&mut self, n: u64, step: &Step) {
+        match *step {
+            Step::Request { class, left } => {
+                let id = RequestId(n);
+                self.books.insert(
+                    id,
+                    Book {
+                        class,
+                        deadline: self.now + left,
+                        finals: 0,
+                        gone: false,
+                        sent: Vec::new(),
+                    },
+                );
+                self.event(Event::Request(NewRequest {
+                    id,
+                    class,
+                    tenant: 0,
+                    key: n % 5,
+                    left,
+                    hint: None,
+                    repeat: n.is_multiple_of(3),
+                }));
+            }
+            Step::Outcome { which, how, queue } => {
+                let open: Vec<_> = self
+                    .books
+                    .iter()
+                    .flat_map(|(id, b)| {
+                        let out = b.sent.iter().enumerate().filter(|(_, s)| s.out);
+                        out.map(move |(n, _)| (*id, n))
+                    })
+                    .collect();
+                if open.is_empty() {
+                    return;
+                }
+                let (id, attempt) = open[which % open.len()];
+                let outcome = [
+                    Outcome::Served,
+                    Outcome::Error,
+                    Outcome::Full,
+                    Outcome::ConnectFailed,
+                    Outcome::Reset,
+                    Outcome::Moot,
+                ][usize::from(how) % 6];
+                self.outcome(id, attempt, outcome, queue);
+            }
+            Step::Wait(t) => self.advance(self.now + t),
+            Step::Health { server: s, health, restart } => {
+                let health = [Health::Ready, Health::Draining, Health::Gone][usize::from(health)];
+                let mut entry = with_health(s, health);
+                if restart {
+                    entry.started = self.now;
+                }
+                match health {
+                    Health::Ready => self.healthy.insert(entry.id),
+                    _ => self.healthy.remove(&entry.id),
+                };
+                self.event(Event::Servers { kind: ListKind::Changes, entries: &[entry] });
+            }
+            Step::Whole { mask } => {
+                let entries: Vec<_> =
+                    (0..SERVERS).filter(|s| mask & (1 << s) != 0).map(server).collect();
+                self.healthy = entries.iter().map(|e| e.id).collect();
+                self.event(Event::Servers { kind: ListKind::Whole, entries: &entries });
+            }
+            Step::Gone { which } => {
+                let open: Vec<_> = self
+                    .books
+                    .iter()
+                    .filter(|(_, b)| b.finals == 0 && !b.gone)
+                    .map(|(id, _)| *id)
+                    .collect();
+                if let Some(&id) = open.get(which) {
+                    self.books.get_mut(&id).expect("listed above").gone = true;
+                    self.event(Event::ClientGone { id });
+                }
+            }
+            Step::Failed => self.event(Event::Servers { kind: ListKind::Failed, entries: &[] }),
+        }
+    }
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        5 => (0..3usize, 0..1500u64).prop_map(|(class, ms)| Step::Request { class, left: ms * MS }),
+        8 => (0..8usize, 0..12u8, prop_oneof![0f32..40.0, Just(f32::NAN), Just(-1.0)]).prop_map(
+            |(which, how, queue)| Step::Outcome { which, how: how.saturating_sub(6), queue }
+        ),
+        4 => (1..300u64).prop_map(|ms| Step::Wait(ms * MS)),
+        1 => (0..SERVERS, 0..3u8, any::<bool>())
+            .prop_map(|(server, health, restart)| Step::Health { server, health, restart }),
+        1 => any::<u8>().prop_map(|mask| Step::Whole { mask }),
+        1 => (0..4usize).prop_map(|which| Step::Gone { which }),
+        1 => Just(Step::Failed),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn rules_hold_on_any_sequence(
+        steps in prop::collection::vec(step(), 1..250),
+        seed in any::<u64>(),
+        asked in any::<bool>(),
+        may_duplicate in any::<bool>(),
+        max_attempts in 1..6usize,
+    ) {
+        let settings = settings(|s| {
+            s["discovery"] = if asked { "on_request" } else { "pushed" }.into();
+            s["limits"]["mayDuplicate"] = may_duplicate.into();
+            s["limits"]["maxAttempts"] = max_attempts.into();
+        });
+        let mut world = World {
+            balancer: Balancer::new(settings, seed, START),
+            now: START,
+            books: BTreeMap::new(),
+            timers: BTreeSet::new(),
+            healthy: BTreeSet::new(),
+            may_duplicate,
+            max_attempts,
+        };
+        world.step(0, &Step::Whole { mask: 0b11_1111 });
+        for (n, s) in steps.iter().enumerate() {
+            world.step(n as u64 + 1, s);
+        }
+        world.advance(world.now + 4 * S);
+        for (id, b) in &world.books {
+            prop_assert!(b.finals == 1 || b.gone, "rule 1: {:?} lost", id);
+        }
+    }
+}
--- /dev/null
+++ b/tests/sidecar/main.rs
@@ -0,0 +1,10 @@
+//! The sidecar's program against scripted peers on loopback sockets.
+
+#[path = "../common/mod.rs"]
+mod common;
+mod support;
+
+mod clients;
+mod framing;
+mod outcomes;
+mod service;
