Start under the platform's limits, and take on new configurations at SIGHUP

Ruled out: settings and peers of the same files pass their checks once the floor is lowered. The reading found two more of the same kind: SIGHUP had no handler, so its default ends the process, and bodies of up to 33 MB were let in, of which one alone is over the memory limit.

Changed: the floor is 16 MB; bodies are held to the protocol's 64 KiB, and one that is announced as longer is answered 413 at once; SIGHUP reads the file again, a sound one moves discovery (the old address is left at once, the new one asked for its whole list) and the other sidecars' addresses, a bad one is logged and changes nothing. Where the file and LB_DISCOVERY differ the file holds, because a reload cannot change the variable.

--- a/src/bin/plankvale.rs
+++ b/src/bin/plankvale.rs
@@ -4,8 +4,9 @@
 use std::process::ExitCode;
 
 use coppercart::sidecar::{self, config::Config};
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::task::LocalSet;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::mpsc;
+use tokio::task::{LocalSet, spawn_local};
 
 fn main() -> ExitCode {
     tracing_subscriber::fmt().with_ansi(false).with_writer(std::io::stderr).init();
@@ -26,9 +27,26 @@
         .map_err(|e| format!("no runtime: {e}"))?;
     LocalSet::new().block_on(&runtime, async {
         let mut told = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
-        sidecar::run(config, async move {
+        let changed = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
+        let (to_sidecar, reloads) = mpsc::channel(1);
+        spawn_local(reload(changed, to_sidecar));
+        let stop = async move {
             told.recv().await;
-        })
-        .await
+        };
+        sidecar::run(config, stop, reloads).await
     })
 }
+
+/// Reads the configuration anew at each SIGHUP. One that is not sound leaves the old one in force.
+async fn reload(mut changed: Signal, to_sidecar: mpsc::Sender<Config>) {
+    while changed.recv().await.is_some() {
+        match Config::from_env() {
+            Ok(config) => {
+                if to_sidecar.send(config).await.is_err() {
+                    return;
+                }
+            }
+            Err(e) => tracing::error!("the configuration stays as it was: {e}"),
+        }
+    }
+}
--- a/src/sidecar/budget.rs
+++ b/src/sidecar/budget.rs
@@ -6,8 +6,8 @@
 
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 
-/// The longest body of a request. The protocol speaks of 32 MB.
-pub const LONGEST_BODY: usize = 33 << 20;
+/// The longest body of a request, as the protocol has it.
+pub const LONGEST_BODY: usize = 64 << 10;
 /// Descriptors that are neither a client's nor a server's: the listener, the event queue,
 /// discovery, peers, standard streams, and those whose closing is still under way.
 const RESERVE: usize = 64;
--- a/src/sidecar/config.rs
+++ b/src/sidecar/config.rs
@@ -10,6 +10,9 @@
 use crate::api::{Health, LoadReport, ServerEntry, ServerId};
 use crate::settings::{Repeat, Settings};
 
+/// With less memory than this even a few clients' buffers would not fit beside the program.
+const LEAST_MEMORY_MB: usize = 16;
+
 /// The configuration, checked.
 pub struct Config {
     /// This sidecar's name.
@@ -228,7 +231,12 @@
         let [name, listen, discovery] = env;
         let name = agreed("name", file.name, "LB_NAME", name)?;
         let listen = agreed("listen", file.listen, "LB_LISTEN", listen)?;
-        let discovery = agreed("discovery", file.discovery, "LB_DISCOVERY", discovery)?;
+        // Danger: a new configuration may move discovery while the variable, which stays what it
+        // was for as long as the process lives, names the old address. The file holds.
+        let discovery = match file.discovery {
+            Some(discovery) => discovery,
+            None => agreed("discovery", None, "LB_DISCOVERY", discovery)?,
+        };
         let address = |key: &str, text: String| {
             text.parse().map_err(|_| format!("{key}: an address and a port expected, not {text:?}"))
         };
@@ -237,8 +245,8 @@
         if file.limits.sockets < 128 {
             return Err("limits.sockets: 128 or more expected".into());
         }
-        if file.limits.memory_mb < 64 {
-            return Err("limits.memory_mb: 64 or more expected".into());
+        if file.limits.memory_mb < LEAST_MEMORY_MB {
+            return Err(format!("limits.memory_mb: {LEAST_MEMORY_MB} or more expected"));
         }
         let settings = Settings::from_json(file.settings.to_string().as_bytes())?;
         if !file.peers.is_empty() && file.peers.len() != settings.instances as usize {
--- a/src/sidecar/discovery.rs
+++ b/src/sidecar/discovery.rs
@@ -11,7 +11,7 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
@@ -40,7 +40,7 @@
 
 /// The side of discovery that talks to it.
 pub struct Discovery {
-    address: SocketAddr,
+    address: watch::Receiver<SocketAddr>,
     how: How,
     connection: Option<(SendRequest<Empty<Bytes>>, AbortHandle)>,
     /// The version of the list at hand.
@@ -50,7 +50,13 @@
 
 impl Discovery {
     /// `version` is that of the list remembered; `tried` is told of every call that ends.
-    pub fn new(address: SocketAddr, how: How, version: u64, tried: Rc<Notify>) -> Discovery {
+    /// `address` brings word when a new configuration moves it.
+    pub fn new(
+        address: watch::Receiver<SocketAddr>,
+        how: How,
+        version: u64,
+        tried: Rc<Notify>,
+    ) -> Discovery {
         Discovery { address, how, connection: None, version, tried }
     }
 
@@ -67,8 +73,17 @@
     async fn pushed(&mut self, driver: Rc<Driver>, mut calls: mpsc::UnboundedReceiver<Call>) {
         let hold = Duration::from_millis(500);
         let mut whole = true;
+        let mut moves = self.address.clone();
         loop {
             tokio::select! {
+                // Danger: the old address may keep an open watch waiting, or accept a call that it
+                // never answers. It is left at once, also in the middle of a call.
+                Ok(()) = moves.changed() => {
+                    self.hang_up();
+                    // The versions there need not go on from those here.
+                    whole = true;
+                    continue;
+                }
                 list = self.call((!whole).then_some(hold), GAP) => match list {
                     Some(list) => {
                         whole = !self.tell(&driver, &list);
@@ -93,10 +108,23 @@
         let hold = Duration::from_secs(4);
         let patience = Duration::from_millis(1500);
         let mut watching = None;
+        let mut moves = self.address.clone();
         loop {
             let call = match watching {
-                None => calls.recv().await,
+                None => tokio::select! {
+                    // The call that was to come next is made at the new address.
+                    Ok(()) = moves.changed() => {
+                        self.hang_up();
+                        Some(Call::Fetch)
+                    }
+                    call = calls.recv() => call,
+                },
                 Some(hold) => tokio::select! {
+                    // What watches here told may not go on there: the whole list first.
+                    Ok(()) = moves.changed() => {
+                        self.hang_up();
+                        Some(Call::Fetch)
+                    }
                     list = self.call(Some(hold), patience) => {
                         let told = list.is_some_and(|list| self.tell(&driver, &list));
                         watching = told.then_some(Duration::from_secs(4));
@@ -152,18 +180,17 @@
             }
         };
         let first = hold.unwrap_or_default() + patience;
+        let address = *self.address.borrow();
         let connection = self.connection.take();
         let mut connection = match connection.filter(|(sender, _)| !sender.is_closed()) {
             Some(connection) => Hanging(Some(connection)),
-            None => Hanging(Some(connect(self.address).await?)),
+            None => Hanging(Some(connect(address).await?)),
         };
         let sender = &mut connection.0.as_mut()?.0;
         let answer = timeout(first, async {
             sender.ready().await.ok()?;
-            let request = Request::get(path)
-                .header(HOST, self.address.to_string())
-                .body(Empty::new())
-                .ok()?;
+            let request =
+                Request::get(path).header(HOST, address.to_string()).body(Empty::new()).ok()?;
             sender.send_request(request).await.ok()
         });
         let answer = answer.await.ok()??;
--- a/src/sidecar/ingress.rs
+++ b/src/sidecar/ingress.rs
@@ -424,6 +424,10 @@
     let mut pieces = Vec::new();
     let mut piece = BytesMut::new();
     let mut left = LONGEST_BODY;
+    // What is announced as too long need not be waited for.
+    if body.size_hint().lower() > left as u64 {
+        return Ok(None);
+    }
     if body.is_end_stream() {
         return Ok(Some(pieces));
     }
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -20,7 +20,7 @@
 
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::spawn_local;
 
 use crate::api::ListKind;
@@ -31,9 +31,14 @@
 /// The share of the memory that bodies of requests may take.
 const BODIES: f64 = 0.4;
 
-/// Runs the sidecar until `stop` is done and all that was taken is answered. An error names the
-/// address that could not be had.
-pub async fn run(config: Config, stop: impl Future<Output = ()>) -> Result<(), String> {
+/// Runs the sidecar until `stop` is done and all that was taken is answered. `reloads` brings the
+/// configurations that come later. An error names the address that could not be had.
+pub async fn run(
+    config: Config,
+    stop: impl Future<Output = ()>,
+    reloads: mpsc::Receiver<Config>,
+) -> Result<(), String> {
+    let inert = Inert::of(&config);
     let listener = listen(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
     let peers = match config.peer_listen {
         Some(at) => {
@@ -72,11 +77,13 @@
     if let Some(known) = &config.known {
         driver.servers(ListKind::Remembered, known);
     }
-    let discovery = discovery::Discovery::new(config.discovery, how, version, tried.clone());
+    let (move_to, moves) = watch::channel(config.discovery);
+    let discovery = discovery::Discovery::new(moves, how, version, tried.clone());
     spawn_local(discovery.run(driver.clone(), calls));
-    if let Some(peers) = peers {
+    if let Some(peers) = peers.clone() {
         spawn_local(peers.listen(driver));
     }
+    spawn_local(follow(reloads, inert, move_to, peers));
     let at = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
     tracing::info!("{} listens on {at}", config.name);
     let accepting = ingress.clone().accept(listener);
@@ -93,6 +100,46 @@
     Ok(())
 }
 
+/// What a configuration fixes for as long as the process lives.
+#[derive(PartialEq, Eq)]
+struct Inert {
+    listen: SocketAddr,
+    memory: usize,
+    sockets: usize,
+    peer_listen: Option<SocketAddr>,
+}
+
+impl Inert {
+    fn of(config: &Config) -> Inert {
+        Inert {
+            listen: config.listen,
+            memory: config.memory,
+            sockets: config.sockets,
+            peer_listen: config.peer_listen,
+        }
+    }
+}
+
+/// Takes on new configurations: where discovery is, and where the other sidecars are. Requests
+/// under way, connections and what is known of servers stay as they are.
+async fn follow(
+    mut reloads: mpsc::Receiver<Config>,
+    inert: Inert,
+    move_to: watch::Sender<SocketAddr>,
+    peers: Option<Rc<peers::Peers>>,
+) {
+    while let Some(config) = reloads.recv().await {
+        if Inert::of(&config) != inert {
+            tracing::warn!("new configuration: sockets and limits change at the next start only");
+        }
+        if let Some(peers) = &peers {
+            peers.moved(config.peers, config.peers_all);
+        }
+        tracing::info!("new configuration: discovery at {}", config.discovery);
+        move_to.send_if_modified(|at| std::mem::replace(at, config.discovery) != config.discovery);
+    }
+}
+
 /// Marks the ingress ready when discovery has first been tried; never ends.
 async fn first_try(ingress: &ingress::Ingress, tried: &Notify) {
     tried.notified().await;
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -1,7 +1,9 @@
 //! Datagrams between sidecars of the tier.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::net::UdpSocket;
 
@@ -9,12 +11,18 @@
 
 /// The longest datagram.
 const LONGEST: usize = 256;
+/// After an error.
+const PAUSE: Duration = Duration::from_millis(1);
 /// The peer that stands for all of them.
 const EVERYONE: u32 = u32::MAX;
 
 /// The way to the other sidecars.
 pub struct Peers {
     socket: UdpSocket,
+    addresses: RefCell<Addresses>,
+}
+
+struct Addresses {
     peers: Vec<SocketAddr>,
     everyone: Option<SocketAddr>,
 }
@@ -26,14 +34,19 @@
         peers: Vec<SocketAddr>,
         everyone: Option<SocketAddr>,
     ) -> Rc<Peers> {
-        Rc::new(Peers { socket, peers, everyone })
+        Rc::new(Peers { socket, addresses: RefCell::new(Addresses { peers, everyone }) })
+    }
+
+    /// The other sidecars are elsewhere from now on.
+    pub fn moved(&self, peers: Vec<SocketAddr>, everyone: Option<SocketAddr>) {
+        self.addresses.replace(Addresses { peers, everyone });
     }
 
     /// Sends a datagram; it may be lost, like any.
     pub fn tell(&self, peer: u32, data: &[u8]) {
         let to = match peer {
-            EVERYONE => self.everyone,
-            n => self.peers.get(n as usize).copied(),
+            EVERYONE => self.addresses.borrow().everyone,
+            n => self.addresses.borrow().peers.get(n as usize).copied(),
         };
         if let (Some(to), true) = (to, data.len() <= LONGEST) {
             let _ = self.socket.try_send_to(data, to);
@@ -44,9 +57,13 @@
     pub async fn listen(self: Rc<Peers>, driver: Rc<Driver>) {
         let mut buf = [0; LONGEST + 1];
         loop {
-            // An error tells of a datagram that was sent, and that no reader waited for.
-            let Ok((n, from)) = self.socket.recv_from(&mut buf).await else { continue };
-            let peer = self.peers.iter().position(|&p| p == from);
+            // An error tells of a datagram that was sent, and that no reader waited for. Danger: an
+            // error that stays would keep this loop, and with it all else, busy for ever.
+            let Ok((n, from)) = self.socket.recv_from(&mut buf).await else {
+                tokio::time::sleep(PAUSE).await;
+                continue;
+            };
+            let peer = self.addresses.borrow().peers.iter().position(|&p| p == from);
             if let (Some(peer), true) = (peer, n <= LONGEST) {
                 driver.note(peer as u32, &buf[..n]);
             }
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -7,4 +7,5 @@
 mod clients;
 mod framing;
 mod outcomes;
+mod reload;
 mod service;
