Read load reports, keep serving through spells of resets, bound every wait

Causes, each seen before it was changed: - No load report was ever read. The log showed some 600 resets under requests of all servers alike; each shunned its server, doubled for every attempt that had been out together, until pick() found none and the request was refused unsent. Failures of one episode now count once, and with no healthy server a request goes to the one left out for the shortest time. The repeats that can be saved up grow with the rate. - Running means moved as far with each answer at 300 requests a second as at five, so the share of far servers jumped between 0.01 and 1. They now forget by time. What comes before the request is whole is not its answer, unless it turns it away. - By reading: requests with length and chunks (hyper drops the length unseen), ids of open requests, clients that never finish, waits for a socket, claims of time left, timers as tasks, addresses of servers long gone; a keyed request that may have run ends as a failure for every group.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,8 +1,8 @@
 //! The decisions, all of them: which server a request goes to, when it is tried again, copied,
 //! refused or given up, and what a server's answers say about that server.
 //!
-//! The ordinary path is the chip mechanism of docs/design.md: answers mint confidence chips, a
-//! send spends one, and of two random servers that qualify the less used one gets the request.
+//! The ordinary path is BLOC's chip mechanism (README.md): answers mint confidence chips, a send
+//! spends one, and of two random servers that qualify the less used one gets the request.
 //! Every send passes `send`, every refusal or failure passes `end`; the four rules hold there.
 
 use rand_core::{RngCore, SeedableRng};
@@ -29,6 +29,9 @@
 const RETRY_SAVED: f64 = 5.0;
 /// The weight of one more answer in a running mean: what a quiet sidecar hears in some seconds.
 const FEW: f64 = 0.15;
+/// The rate, in requests a second, up to which a sidecar is quiet in this sense. Means are to forget
+/// by time: at a busier one each answer weighs less, or they would follow every single answer.
+const QUIET_RATE: f64 = 20.0;
 /// A report is half forgotten after this many of the longest aims.
 const REPORT_FADES: f64 = 2.0;
 /// The least number of servers in a sidecar's subset: two sick ones must leave a choice, and the
@@ -99,6 +102,7 @@
     /// When the oldest send that nothing has been heard since went out.
     silent_since: Option<Micros>,
     failures: u32,
+    failed_at: Micros,
     shunned_until: Micros,
     /// The last report's load and when it came.
     load: f64,
@@ -541,6 +545,11 @@
         s.chips > 0 || s.received.is_none_or(|t| self.now - t > self.reset_interval)
     }
 
+    /// The weight of one more answer where a quiet sidecar gives it `quiet`.
+    fn news(&self, quiet: f64) -> f64 {
+        quiet * (QUIET_RATE / self.rate.max(QUIET_RATE))
+    }
+
     /// Algorithm 3. None: there is no server to send to at all.
     fn pick(&mut self, request: &Request) -> Option<Slot> {
         if self.ready.is_empty() {
@@ -553,6 +562,7 @@
         }
         let mut best: Option<Slot> = None;
         let mut least_bad: Option<Slot> = None;
+        let mut left_out: Option<Slot> = None;
         let at_home = self.home(request.key);
         for nth in 0..2 {
             for tries in 0..REDRAWS {
@@ -574,7 +584,15 @@
                     continue;
                 }
                 let used = request.attempts.iter().any(|a| a.slot == slot);
-                if used || best == Some(slot) || !self.allowed(request, s) || !self.healthy(s) {
+                if used || best == Some(slot) || !self.allowed(request, s) {
+                    continue;
+                }
+                if !self.healthy(s) {
+                    let soonest = |other: Slot| match self.servers[other].shunned_until {
+                        until if until < s.shunned_until => other,
+                        _ => slot,
+                    };
+                    left_out = Some(left_out.map_or(slot, soonest));
                     continue;
                 }
                 // Danger: a server that is slow but answers keeps its share and makes it late. The
@@ -591,7 +609,11 @@
                 least_bad = Some(least_bad.map_or(slot, |other| self.less_used(other, slot)));
             }
         }
-        best.or(least_bad)
+        // Danger: where the network spoils answers of all servers alike, leaving each out that fails
+        // leaves out all, and refuses what most could serve. A request that finds no healthy server
+        // goes to the one that is left out for the shortest time. Beside servers that are down in
+        // truth this costs an attempt where a refusal was to be.
+        best.or(least_bad).or(left_out)
     }
 
     /// The less used of two by our own count; what was last heard settles a tie.
@@ -651,8 +673,8 @@
         let class = &self.settings.classes[request.class];
         match class.repeat {
             Repeat::Safe => true,
-            Repeat::Unsafe => request.untouched(),
-            Repeat::Keyed => request.untouched() || class.dedup_scope == Scope::All,
+            // Danger: a client's own retry of a keyed request may come when no server remembers it.
+            Repeat::Unsafe | Repeat::Keyed => request.untouched(),
         }
     }
 
@@ -751,7 +773,9 @@
         // A mean over some ten seconds, by the gaps between requests.
         let kept = (-gap / RATE_SPAN).exp();
         self.rate = self.rate * kept + (1.0 - kept) / gap;
-        self.retry_budget = (self.retry_budget + RETRY_SHARE).min(RETRY_SAVED);
+        // Danger: a busy sidecar meets in a second what a quiet one does in a minute.
+        let saved = RETRY_SHARE * self.rate * self.reset_interval as f64 / 1e6;
+        self.retry_budget = (self.retry_budget + RETRY_SHARE).min(saved.max(RETRY_SAVED));
         if self.uniform() < self.shed_share(class) {
             return self.end(id, out);
         }
@@ -891,9 +915,10 @@
         let overtaken = |a: &Attempt| self.servers[a.slot].answered > a.sent;
         let out = r.attempts.iter().filter(|a| a.fate == Fate::Out && !overtaken(a));
         let slots: SmallVec<[Slot; 2]> = out.map(|a| a.slot).collect();
+        let slow_news = self.news(SLOW_NEWS);
         for slot in slots {
             let s = &mut self.servers[slot];
-            s.slowness += SLOW_NEWS * (MOST_SLOW - s.slowness);
+            s.slowness += slow_news * (MOST_SLOW - s.slowness);
             self.feel(slot, class, LATE_AT_AIM * self.settings.classes[class].aim as f64);
         }
     }
@@ -1018,20 +1043,26 @@
                     self.feel(slot, class, aim);
                 }
             }
-            _ => self.failed(slot, outcome, pause),
+            _ => self.failed(slot, outcome, sent, pause),
         }
     }
 
     /// Outlier ejection: each failure in a row doubles the pause until the next single trial.
     /// Danger: where networks reset connections now and then, a pause for each would leave too few
     /// servers. After a lone reset the trial may follow at once.
-    fn failed(&mut self, slot: Slot, outcome: Outcome, pause: f64) {
+    /// Danger: a busy sidecar has many attempts out at one server, and what ends one ends them all.
+    /// Those that were out when it last failed are not a row of failures.
+    fn failed(&mut self, slot: Slot, outcome: Outcome, sent: Micros, pause: f64) {
         let s = &mut self.servers[slot];
+        s.chips = 0;
+        if s.failures > 0 && sent < s.failed_at {
+            return;
+        }
+        s.failed_at = self.now;
         let lone = s.failures == 0 && outcome == Outcome::Reset;
         let doubled = if lone { 0.0 } else { f64::from(1u32 << s.failures.min(MAX_DOUBLINGS)) };
         s.shunned_until = self.now + (pause * 0.25 * doubled) as Micros;
         s.failures += 1;
-        s.chips = 0;
     }
 
     fn wipe(&mut self, slot: Slot) {
@@ -1041,6 +1072,7 @@
     }
 
     fn answer_time(&mut self, slot: Slot, class: usize, latency: f64) {
+        let (few, slow_news) = (self.news(FEW), self.news(SLOW_NEWS));
         let l = &mut self.learned[class];
         if !l.seen {
             (l.base, l.usual, l.seen) = (latency, latency, true);
@@ -1049,9 +1081,9 @@
         let step = if latency < l.base { 0.5 } else { 0.02 };
         l.base += step * (latency.min(2.0 * l.base) - l.base);
         let relative = (latency / l.usual.max(1.0)).min(MOST_SLOW);
-        l.usual += FEW * (latency.min(4.0 * l.usual) - l.usual);
+        l.usual += few * (latency.min(4.0 * l.usual) - l.usual);
         let s = &mut self.servers[slot];
-        s.slowness += SLOW_NEWS * (relative - s.slowness);
+        s.slowness += slow_news * (relative - s.slowness);
         let loaded = relative * (1.0 + s.load / s.power);
         self.spill(slot, loaded);
         if latency < self.settings.classes[class].aim as f64 {
@@ -1060,8 +1092,8 @@
             let expected = match self.held_column {
                 Some(_) => {
                     let held = 1.0 + self.servers[slot].load;
-                    self.answer_mean.0 += FEW * (latency - self.answer_mean.0);
-                    self.answer_mean.1 += FEW * (held - self.answer_mean.1);
+                    self.answer_mean.0 += few * (latency - self.answer_mean.0);
+                    self.answer_mean.1 += few * (held - self.answer_mean.1);
                     held * self.answer_mean.0 / self.answer_mean.1
                 }
                 None => latency,
@@ -1103,10 +1135,10 @@
     /// with how loaded answers show home and away to be, towards a slightly higher load at home.
     fn spill(&mut self, slot: Slot, loaded: f64) {
         let side = usize::from(self.far(&self.servers[slot]));
-        self.side_load[side] += FEW * (loaded - self.side_load[side]);
+        self.side_load[side] += self.news(FEW) * (loaded - self.side_load[side]);
         let [home, away] = self.side_load;
         let pull = (home / away).ln() - CROSSING_WORTH * self.settings.prices.cross_zone;
-        let moved = self.far_share * (0.5 * pull.clamp(-1.0, 1.0)).exp();
+        let moved = self.far_share * (self.news(0.5) * pull.clamp(-1.0, 1.0)).exp();
         self.far_share = moved.clamp(self.far_least, 1.0);
     }
 
@@ -1118,11 +1150,11 @@
         };
         let (queue, load) = (value(self.queue_column), value(self.load_column));
         let draws = (self.uniform(), self.uniform());
-        let now = self.now;
+        let (now, few) = (self.now, self.news(FEW));
         if let Some(load) = load {
             let s = &mut self.servers[slot];
             (s.load, s.reported) = (load, now);
-            self.usual_load += FEW * (load / s.power - self.usual_load);
+            self.usual_load += few * (load / s.power - self.usual_load);
         }
         let s = &mut self.servers[slot];
         let Some(queue) = queue else {
@@ -1163,6 +1195,7 @@
             answered: 0,
             silent_since: None,
             failures: 0,
+            failed_at: 0,
             shunned_until: 0,
             load: 0.0,
             reported: 0,
--- a/src/sidecar/budget.rs
+++ b/src/sidecar/budget.rs
@@ -10,7 +10,7 @@
 pub const LONGEST_BODY: usize = 64 << 10;
 /// Descriptors that are neither a client's nor a server's: the listener, the event queue,
 /// discovery, peers, standard streams, and those whose closing is still under way.
-const RESERVE: usize = 64;
+const RESERVE: usize = 32;
 /// More connections than this would need more memory than they serve.
 const MOST: usize = 4096;
 
@@ -26,11 +26,15 @@
 pub type Place = OwnedSemaphorePermit;
 
 impl Sockets {
-    /// Shares out `limit` descriptors. A client has one request out at a time, so with as many
-    /// places for servers as for clients no request waits for one for long.
+    /// Shares out `limit` descriptors. Clients hold a third for requests at most, and some ask once
+    /// and stay; a client has one request out at a time, but its repeat or second copy may need
+    /// another socket before the first is given back. So servers get as many and a little more.
     pub fn new(limit: usize) -> Sockets {
-        let each = (limit.saturating_sub(RESERVE) / 2).clamp(4, MOST);
-        Sockets { clients: Arc::new(Semaphore::new(each)), servers: Arc::new(Semaphore::new(each)) }
+        let shared = limit.saturating_sub(RESERVE);
+        let clients = (shared * 4 / 9).clamp(4, MOST);
+        let servers = (shared - clients.min(shared)).clamp(4, MOST);
+        let places = |n| Arc::new(Semaphore::new(n));
+        Sockets { clients: places(clients), servers: places(servers) }
     }
 }
 
--- a/src/sidecar/config.rs
+++ b/src/sidecar/config.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde_json::Value;
@@ -10,6 +11,10 @@
 use crate::api::{Health, LoadReport, ServerEntry, ServerId};
 use crate::settings::{Repeat, Settings};
 
+/// What a field of a load report may hold. Danger: one figure without sense (an overflow, a time in
+/// place of a count) would spoil averages for as long as they remember. No server holds a million
+/// requests; a report that says so is none.
+const REPORTED: std::ops::RangeInclusive<f32> = 0.0..=1e6;
 /// With less memory than this even a few clients' buffers would not fit beside the program.
 const LEAST_MEMORY_MB: usize = 16;
 
@@ -110,6 +115,11 @@
     pub fn id(&self) -> ServerId {
         ServerId(stable_hash(self.host.as_bytes()))
     }
+
+    /// Whether it has left for good.
+    pub fn is_gone(&self) -> bool {
+        matches!(self.health, Listed::Left)
+    }
 }
 
 /// The same number for the same bytes in every build and at every sidecar (FNV-1a).
@@ -126,6 +136,10 @@
     pub index: usize,
     /// It decides the method.
     pub repeat: Repeat,
+    /// Its answers may be long.
+    pub streaming: bool,
+    /// The longest that a client of this class waits.
+    pub deadline: Duration,
 }
 
 /// Names that stand on sockets for numbers of the settings.
@@ -156,7 +170,12 @@
             ..Names::default()
         };
         for (index, class) in settings.classes.iter().enumerate() {
-            let of = ClassName { index, repeat: class.repeat };
+            let of = ClassName {
+                index,
+                repeat: class.repeat,
+                streaming: class.streaming,
+                deadline: Duration::from_micros(class.deadline),
+            };
             if names.classes.insert(class.name.clone(), of).is_some() {
                 return Err(format!("settings.classes[{index}].name: a name of its own expected"));
             }
@@ -191,9 +210,12 @@
 
     /// A load report (`inflight=7,queue=2,util=0.61`) in the order of the settings' columns. One
     /// that lacks a column or holds no number is none.
+    ///
+    /// Danger: servers name the fields as the settings do; looked for under the simulator's words
+    /// alone no report is ever read, and nothing but the missing chips tells. Both words count.
     pub fn report(&self, text: &str) -> LoadReport {
         let field = |column: &String| {
-            let name = match column.as_str() {
+            let plain = match column.as_str() {
                 "rif" => "inflight",
                 "q" => "queue",
                 "busy" => "util",
@@ -203,8 +225,9 @@
                 other => other,
             };
             let fields = text.split(',').filter_map(|f| f.split_once('='));
-            let value = fields.filter(|(k, _)| k.trim() == name).map(|(_, v)| v).next()?;
-            value.trim().parse::<f32>().ok().filter(|v| v.is_finite())
+            let named = |k: &str| k == column || k == plain;
+            let value = fields.filter(|(k, _)| named(k.trim())).map(|(_, v)| v).next()?;
+            value.trim().parse::<f32>().ok().filter(|v| REPORTED.contains(v))
         };
         let values: Option<_> = self.columns.iter().map(field).collect();
         values.map(LoadReport).unwrap_or_default()
--- a/src/sidecar/driver.rs
+++ b/src/sidecar/driver.rs
@@ -3,17 +3,18 @@
 //! refusals.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
-use super::config::{List, Names};
+use super::config::{Host, List, Names};
 use super::discovery::Call;
 use super::peers::Peers;
 use super::upstream::{Head, Long, Reached, Spec, Upstream};
@@ -27,8 +28,6 @@
 const MARGIN: Duration = Duration::from_millis(5);
 /// A server that stops within an answer for so long will not go on with it.
 const SERVER_STALL: Duration = Duration::from_secs(10);
-/// Servers that are gone are remembered no longer once there are so many names.
-const MOST_SERVERS: usize = 4096;
 
 /// The final answer to a request.
 pub enum Reply {
@@ -82,6 +81,8 @@
     pub class: usize,
     /// Whether its class may be sent again once it may have run.
     pub repeatable: bool,
+    /// Whether its answer may be long.
+    pub streaming: bool,
     /// Its tenant's place in the settings.
     pub tenant: usize,
     /// What it is about; 0: unknown.
@@ -131,6 +132,9 @@
     discovery: mpsc::UnboundedSender<Call>,
     peers: Option<Rc<Peers>>,
     probe_reports: bool,
+    /// The module's timers, the next to run out first, and word of a new one.
+    timers: RefCell<BinaryHeap<Reverse<(Instant, u32)>>>,
+    sooner: Notify,
 }
 
 impl Driver {
@@ -154,7 +158,19 @@
             servers: HashMap::new(),
             listed: false,
         });
-        Rc::new(Driver { core, clock, names, upstream, discovery, peers, probe_reports })
+        let driver = Rc::new(Driver {
+            core,
+            clock,
+            names,
+            upstream,
+            discovery,
+            peers,
+            probe_reports,
+            timers: RefCell::default(),
+            sooner: Notify::new(),
+        });
+        spawn_local(driver.clone().run_timers());
+        driver
     }
 
     fn now(&self) -> Micros {
@@ -188,11 +204,9 @@
             }
             Action::Fail { id } => self.end(id, Reply::Failed),
             Action::Timer { delay, token } => {
-                let driver = self.clone();
-                spawn_local(async move {
-                    tokio::time::sleep(Duration::from_micros(delay)).await;
-                    driver.event(Event::Timer { token });
-                });
+                let at = Instant::now() + Duration::from_micros(delay);
+                self.timers.borrow_mut().push(Reverse((at, token)));
+                self.sooner.notify_one();
             }
             Action::Probe { server } => {
                 let dial = self.core.borrow().servers.get(&server).copied();
@@ -220,6 +234,27 @@
         }
     }
 
+    /// Tells the module of its timers as they run out. Danger: a task for each would cost a sidecar
+    /// memory for as long as clients say that they wait; here one is a few bytes.
+    async fn run_timers(self: Rc<Driver>) {
+        loop {
+            let next = self.timers.borrow().peek().map(|Reverse((at, _))| *at);
+            match next {
+                Some(at) if at <= Instant::now() => {
+                    let due = self.timers.borrow_mut().pop();
+                    if let Some(Reverse((_, token))) = due {
+                        self.event(Event::Timer { token });
+                    }
+                }
+                Some(at) => tokio::select! {
+                    () = tokio::time::sleep_until(at.into()) => {}
+                    () = self.sooner.notified() => {}
+                },
+                None => self.sooner.notified().await,
+            }
+        }
+    }
+
     // ---- What happens ----
 
     /// Takes a whole request.
@@ -272,11 +307,26 @@
     pub fn servers(self: &Rc<Driver>, kind: ListKind, list: &List) {
         {
             let mut core = self.core.borrow_mut();
-            if kind != ListKind::Changes && core.servers.len() > MOST_SERVERS {
-                core.servers.clear();
+            if kind != ListKind::Changes {
+                // What a whole list lacks is gone.
+                let listed: HashSet<ServerId> = list.hosts.iter().map(Host::id).collect();
+                core.servers.retain(|id, _| {
+                    let kept = listed.contains(id);
+                    if !kept {
+                        self.upstream.close_idle(*id);
+                    }
+                    kept
+                });
             }
             for host in &list.hosts {
                 let id = host.id();
+                // Danger: servers are ever new. One that is gone gets nothing more, and neither
+                // its address nor a connection to it is kept.
+                if host.is_gone() {
+                    core.servers.remove(&id);
+                    self.upstream.close_idle(id);
+                    continue;
+                }
                 let Some(dial) = host.dial else { continue };
                 if core.servers.insert(id, dial).is_some_and(|before| before != dial) {
                     self.upstream.close_idle(id);
--- /dev/null
+++ b/src/sidecar/guard.rs
@@ -0,0 +1,133 @@
+//! What is checked of clients' requests beyond what hyper checks: heads whose framing can be read in
+//! two ways, and ids that are taken.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use rustc_hash::FxHashSet;
+
+use super::config::stable_hash;
+
+/// The longest header name that is looked for.
+const NAME: usize = "transfer-encoding".len();
+/// Ids that are remembered of one span at most; more requests than that come to no sidecar.
+const MOST_IDS: usize = 1 << 14;
+
+/// Reads a head's header names as they come in, beside hyper.
+///
+/// Guards against a request with both `Content-Length` and `Transfer-Encoding`, which can hide
+/// another one from one of two readers; hyper lets the length drop without a word. What is known
+/// here of a head that came with bytes of an earlier request is nothing, so chunks are then not
+/// taken either. It does harm only to clients that send chunks without waiting for their answer.
+#[derive(Default)]
+pub struct HeadScan {
+    name: [u8; NAME],
+    /// Bytes of the present line so far; of its name, as far as that may matter.
+    line: usize,
+    named: bool,
+    /// The request line has been seen.
+    first: bool,
+    done: bool,
+    length: bool,
+    coding: bool,
+}
+
+impl HeadScan {
+    /// Takes in the next bytes that the client sent.
+    pub fn take(&mut self, bytes: &[u8]) {
+        for &byte in bytes {
+            if self.done {
+                return;
+            }
+            match byte {
+                b'\r' => {}
+                b'\n' => {
+                    // Empty lines ahead of the request line are passed over.
+                    self.done = self.line == 0 && self.first;
+                    self.first |= self.line > 0;
+                    (self.line, self.named) = (0, false);
+                }
+                b':' if self.first && !self.named => {
+                    self.named = true;
+                    let name = self.name.get(..self.line).unwrap_or_default();
+                    self.length |= name.eq_ignore_ascii_case(b"content-length");
+                    self.coding |= name.eq_ignore_ascii_case(b"transfer-encoding");
+                    self.line += 1;
+                }
+                byte => {
+                    if let Some(place) = self.name.get_mut(self.line) {
+                        *place = byte;
+                    }
+                    self.line += 1;
+                }
+            }
+        }
+    }
+
+    /// Whether the head that has just been read has one framing, and surely no other.
+    pub fn one_framing(&self, chunked: bool) -> bool {
+        !chunked || (self.done && self.coding && !self.length)
+    }
+}
+
+/// The ids of requests that are open or were so a moment ago.
+///
+/// Guards against a second request under an id that is in use: its answer could be taken for the
+/// other's, by a server that drops repeats, by a log, by the client. Every request has a new id, so
+/// this harms only one that was read in part before its connection broke, and its claim is dropped.
+pub struct OpenIds {
+    /// Ids first met in this span, and in the one before.
+    spans: RefCell<(FxHashSet<u64>, FxHashSet<u64>, Instant)>,
+    span: Duration,
+}
+
+impl OpenIds {
+    /// `longest` is how long a request may be open.
+    pub fn new(longest: Duration) -> Rc<OpenIds> {
+        Rc::new(OpenIds {
+            spans: RefCell::new((FxHashSet::default(), FxHashSet::default(), Instant::now())),
+            span: longest + Duration::from_millis(500),
+        })
+    }
+
+    /// Claims an id for a request; None: it is in use.
+    pub fn claim(self: &Rc<OpenIds>, id: &[u8]) -> Option<Claim> {
+        let id = stable_hash(id);
+        let mut spans = self.spans.borrow_mut();
+        let (now, before, since) = &mut *spans;
+        if since.elapsed() >= self.span || now.len() >= MOST_IDS {
+            std::mem::swap(now, before);
+            now.clear();
+            *since = Instant::now();
+        }
+        if before.contains(&id) || !now.insert(id) {
+            return None;
+        }
+        Some(Claim { ids: self.clone(), id, kept: false })
+    }
+}
+
+/// An id's claim; dropped before it is kept, the id is free again.
+pub struct Claim {
+    ids: Rc<OpenIds>,
+    id: u64,
+    kept: bool,
+}
+
+impl Claim {
+    /// The request has been taken: its id stays in use for as long as it may be open.
+    pub fn keep(mut self) {
+        self.kept = true;
+    }
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        if !self.kept {
+            let mut spans = self.ids.spans.borrow_mut();
+            spans.0.remove(&self.id);
+            spans.1.remove(&self.id);
+        }
+    }
+}
--- a/src/sidecar/ingress.rs
+++ b/src/sidecar/ingress.rs
@@ -25,30 +25,41 @@
 use super::budget::{self, Account, LONGEST_BODY, Place, Sockets};
 use super::config::{Names, stable_hash};
 use super::driver::{Asked, Driver, LongReply, Reply};
+use super::guard::{HeadScan, OpenIds};
 use super::stream::{self, Observer, Stream};
 use super::upstream::Spec;
 use crate::api::Micros;
 use crate::settings::Repeat;
 
-/// The most that hyper reads ahead, and so the longest head.
-const READ_AHEAD: usize = 64 << 10;
+/// The most that hyper reads ahead, and so the longest head. Danger: each of a crowd of clients may
+/// fill as much.
+const READ_AHEAD: usize = 32 << 10;
 /// Bodies are kept in pieces of this size.
 const PIECE: usize = 64 << 10;
-/// A client that is within a message and sends nothing for so long is let go.
-const READ_STALL: Duration = Duration::from_secs(6);
+/// How long a client may take from a request's first byte to its last, however it spreads them.
+/// Guards against heads and bodies that never end, lengths that are too great, and clients that send
+/// a byte now and then to stay. Danger: a client on a machine that stands still for so long loses
+/// its connection, and what it sends with it.
+const SLOWEST_REQUEST: Duration = Duration::from_secs(2);
+/// How long a connection may say nothing at first.
+const SLOWEST_FIRST: Duration = Duration::from_secs(2);
+/// How long a connection may rest between requests.
+const REST: Duration = Duration::from_secs(20);
 /// A client that reads nothing of its answer for so long is let go.
-const WRITE_STALL: Duration = Duration::from_secs(20);
-/// In a crowd, who takes longer than this for a request's first bytes goes first: clients may
-/// take 2 s for a head.
-const SLOWEST_HEAD: Duration = Duration::from_millis(2500);
-/// The most that a client may claim as time left. Danger: timers run for as long as it claims, and
-/// each takes memory.
-const LONGEST_LEFT: Duration = Duration::from_secs(60);
+const WRITE_STALL: Duration = Duration::from_secs(5);
+/// In a crowd, who takes longer than this for the first bytes of a request goes before those that
+/// have asked: a client that has something to ask begins at once.
+const SLOW_FIRST: Duration = Duration::from_millis(300);
+/// In a crowd, who takes longer than this for a whole request goes first.
+const SLOW_REQUEST: Duration = Duration::from_millis(1000);
 /// Between two looks at where a connection's client is.
-const LOOK: Duration = Duration::from_secs(1);
+const LOOK: Duration = Duration::from_millis(500);
 /// How long an ended connection is read on, so that what the client still sends does not take
 /// its answer away.
 const LINGER: Duration = Duration::from_secs(2);
+/// So much is read of it at once, and a pause is made.
+const LINGER_PIECE: usize = 64 << 10;
+const LINGER_PAUSE: Duration = Duration::from_millis(5);
 /// A pause before accepting again when the system has no descriptor left.
 const NO_DESCRIPTOR: Duration = Duration::from_millis(10);
 
@@ -72,8 +83,10 @@
     phase: Cell<Phase>,
     /// hyper has all of the last answer; what is flushed next is its end.
     complete: Cell<bool>,
-    /// It is this side that holds a request up, for want of memory.
-    held_up: Cell<bool>,
+    /// It has had an answer.
+    asked: Cell<bool>,
+    /// What has been read of the request that is coming.
+    head: RefCell<HeadScan>,
     /// When the phase began, and when bytes last moved.
     since: Cell<Instant>,
     moved: Cell<Instant>,
@@ -86,7 +99,8 @@
         Client {
             phase: Cell::new(Phase::Resting),
             complete: Cell::new(false),
-            held_up: Cell::new(false),
+            asked: Cell::new(false),
+            head: RefCell::default(),
             since: Cell::new(now),
             moved: Cell::new(now),
             leave: Notify::new(),
@@ -110,29 +124,40 @@
             // Danger: in a crowd, connections that only wait for their clients to close them
             // would keep new ones out.
             Phase::Ending => Some((0, self.since.get())),
-            Phase::Partial if self.since.get().elapsed() > SLOWEST_HEAD => {
-                Some((0, self.moved.get()))
+            Phase::Partial if self.since.get().elapsed() > SLOW_REQUEST => {
+                Some((1, self.since.get()))
             }
-            Phase::Resting => Some((1, self.moved.get())),
-            Phase::Partial => Some((2, self.since.get())),
+            // Danger: were the longest at rest to go first, silent newcomers would drive out those
+            // that ask again and again.
+            Phase::Resting if !self.asked.get() && self.since.get().elapsed() > SLOW_FIRST => {
+                Some((1, self.since.get()))
+            }
+            Phase::Resting if self.asked.get() => Some((2, self.moved.get())),
+            Phase::Resting => Some((3, self.since.get())),
+            Phase::Partial => Some((4, self.since.get())),
         }
     }
 
     fn stalled(&self) -> bool {
-        let still = self.moved.get().elapsed();
+        let (still, spent) = (self.moved.get().elapsed(), self.since.get().elapsed());
         match self.phase.get() {
-            Phase::Resting | Phase::Taken | Phase::Ending => false,
-            Phase::Partial => still > READ_STALL && !self.held_up.get(),
+            Phase::Taken | Phase::Ending => false,
+            Phase::Resting => spent > if self.asked.get() { REST } else { SLOWEST_FIRST },
+            Phase::Partial => spent > SLOWEST_REQUEST,
             Phase::Answered => still > WRITE_STALL,
         }
     }
 }
 
 impl Observer for Client {
-    fn on_read(&self, n: usize) {
+    fn on_read(&self, bytes: &[u8]) {
         self.moved.set(Instant::now());
-        if n > 0 && self.phase.get() == Phase::Resting {
+        if !bytes.is_empty() && self.phase.get() == Phase::Resting {
             self.enter(Phase::Partial);
+            self.head.replace(HeadScan::default());
+        }
+        if self.phase.get() == Phase::Partial {
+            self.head.borrow_mut().take(bytes);
         }
     }
 
@@ -142,6 +167,7 @@
 
     fn on_flush(&self) {
         if self.complete.replace(false) && self.phase.get() == Phase::Answered {
+            self.asked.set(true);
             self.enter(Phase::Resting);
         }
     }
@@ -153,6 +179,7 @@
     names: Rc<Names>,
     sockets: Rc<Sockets>,
     bytes: Rc<budget::Bytes>,
+    ids: Rc<OpenIds>,
     clients: RefCell<HashMap<u64, Rc<Client>>>,
     accepted: Cell<(u64, Instant)>,
     draining: Cell<bool>,
@@ -166,8 +193,10 @@
         names: Rc<Names>,
         sockets: Rc<Sockets>,
         bytes: Rc<budget::Bytes>,
+        ids: Rc<OpenIds>,
     ) -> Rc<Ingress> {
         Rc::new(Ingress {
+            ids,
             driver,
             names,
             sockets,
@@ -298,13 +327,16 @@
         // With pipelining, the next request is read before the last answer is out.
         client.complete.set(false);
         if client.phase.get() != Phase::Partial {
+            // What came with the last request was not looked at.
             client.enter(Phase::Partial);
+            client.head.replace(HeadScan::default());
         }
-        let mut response = match self.reply(&client, request).await? {
-            Ok(reply) => written(reply),
-            Err(status) => plain(status),
+        let (mut response, last) = match self.reply(&client, request).await? {
+            Ok(reply) => (written(reply), false),
+            // Danger: what follows a request that makes no sense makes none either.
+            Err(status) => (plain(status), status == StatusCode::BAD_REQUEST),
         };
-        if self.draining.get() {
+        if last || self.draining.get() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         client.enter(Phase::Answered);
@@ -323,27 +355,39 @@
             let ready = self.tried.get() && self.driver.listed();
             return Ok(Err(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }));
         }
-        let asked = match self.asked(&head) {
+        let chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
+        if !client.head.borrow().one_framing(chunked) {
+            return Ok(Err(StatusCode::BAD_REQUEST));
+        }
+        let (asked, id) = match self.asked(&head) {
             Ok(asked) => asked,
             Err(status) => return Ok(Err(status)),
         };
+        let Some(claim) = self.ids.claim(id.as_bytes()) else {
+            return Ok(Err(StatusCode::CONFLICT));
+        };
         let mut account = self.bytes.account();
-        let body = match read(client, body, &mut account).await? {
+        let body = match read(body, &mut account).await? {
             Some(body) => body,
             None => return Ok(Err(StatusCode::PAYLOAD_TOO_LARGE)),
         };
         client.enter(Phase::Taken);
+        claim.keep();
         let target = head.uri.path_and_query().cloned().map(hyper::Uri::from);
         let headers = passed_on(&head.headers);
         let target = target.unwrap_or_default();
-        let repeatable = asked.repeatable;
-        let spec = Spec { method: head.method, target, headers, repeatable, body, account };
+        let (repeatable, streaming) = (asked.repeatable, asked.streaming);
+        let spec =
+            Spec { method: head.method, target, headers, repeatable, streaming, body, account };
         let mut ticket = self.driver.request(asked, spec);
         Ok(Ok(ticket.reply().await))
     }
 
     /// What a request's head asks for; refused are heads that say too little or the wrong thing.
-    fn asked(&self, head: &hyper::http::request::Parts) -> Result<Asked, StatusCode> {
+    fn asked<'h>(
+        &self,
+        head: &'h hyper::http::request::Parts,
+    ) -> Result<(Asked, &'h str), StatusCode> {
         let text = |name: &str| head.headers.get(name).map(|v| v.to_str().map(str::trim));
         let text = |name: &str| text(name).transpose().map_err(|_| StatusCode::BAD_REQUEST);
         let class = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
@@ -356,7 +400,8 @@
         if class.repeat != Repeat::Safe && keyed != (class.repeat == Repeat::Keyed) {
             return Err(StatusCode::BAD_REQUEST);
         }
-        text("x-correlation-id")?.filter(|id| !id.is_empty()).ok_or(StatusCode::BAD_REQUEST)?;
+        let id = text("x-correlation-id")?.filter(|id| !id.is_empty());
+        let id = id.ok_or(StatusCode::BAD_REQUEST)?;
         let tenant = match text("x-account")? {
             _ if self.names.tenants.is_empty() => 0,
             name => *name
@@ -365,15 +410,19 @@
         };
         let left = text("x-time-left-ms")?.and_then(|v| v.parse::<u32>().ok());
         let left = left.ok_or(StatusCode::BAD_REQUEST)?;
-        Ok(Asked {
+        let asked = Asked {
             class: class.index,
             repeatable: class.repeat != Repeat::Unsafe,
+            streaming: class.streaming,
             tenant,
             key: head.headers.get_all(header::COOKIE).iter().find_map(key).unwrap_or(0),
-            left: Duration::from_millis(left.into()).min(LONGEST_LEFT),
+            // Danger: what a client claims to wait keeps its request, with all that belongs to it,
+            // here for as long, and a planned end waits for the longest deadline only.
+            left: Duration::from_millis(left.into()).min(class.deadline),
             hint: text("x-weight-hint")?.and_then(|v| v.parse::<Micros>().ok()),
             repeat: text("x-repeat")? == Some("1"),
-        })
+        };
+        Ok((asked, id))
     }
 }
 
@@ -416,11 +465,9 @@
 }
 
 /// Reads a body whole. None: it is too long.
-async fn read(
-    client: &Client,
-    mut body: Incoming,
-    account: &mut Account,
-) -> Result<Option<Vec<Bytes>>, Gone> {
+/// Danger: room is taken before bytes are here; else the budget would be overdrawn by all who send
+/// at once. What is not yet read waits in the client.
+async fn read(mut body: Incoming, account: &mut Account) -> Result<Option<Vec<Bytes>>, Gone> {
     let mut pieces = Vec::new();
     let mut piece = BytesMut::new();
     let mut left = LONGEST_BODY;
@@ -431,7 +478,7 @@
     if body.is_end_stream() {
         return Ok(Some(pieces));
     }
-    room(client, account).await;
+    account.grow(PIECE).await;
     while let Some(frame) = body.frame().await {
         let Ok(mut data) = frame.map_err(|_| Gone)?.into_data() else { continue };
         let Some(rest) = left.checked_sub(data.len()) else { return Ok(None) };
@@ -443,7 +490,7 @@
             piece.extend_from_slice(&data.split_to(n));
             if piece.len() == PIECE {
                 pieces.push(std::mem::take(&mut piece).freeze());
-                room(client, account).await;
+                account.grow(PIECE).await;
             }
         }
     }
@@ -453,15 +500,6 @@
     Ok(Some(pieces))
 }
 
-/// Takes room for one more piece. Danger: asked for only when bytes are here, the budget would be
-/// overdrawn by all who send at once. What is not yet read waits in the client.
-async fn room(client: &Client, account: &mut Account) {
-    client.held_up.set(true);
-    account.grow(PIECE).await;
-    client.held_up.set(false);
-    client.moved.set(Instant::now());
-}
-
 async fn stalled(client: &Client) {
     while !client.stalled() {
         sleep(LOOK).await;
@@ -474,11 +512,20 @@
 async fn linger(socket: &TcpStream) {
     stream::finish_writing(socket);
     let drained = async {
-        let mut buf = [0; 4096];
+        let mut buf = [0; 8192];
+        let mut read = 0;
         loop {
             match socket.try_read(&mut buf) {
                 Ok(0) => return,
-                Ok(_) => tokio::task::yield_now().await,
+                // Danger: read as fast as they come, the 60 MB of a few such clients would take the
+                // processor from all others. What is not read waits in the client.
+                Ok(n) => {
+                    read += n;
+                    if read >= LINGER_PIECE {
+                        read = 0;
+                        sleep(LINGER_PAUSE).await;
+                    }
+                }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                     if socket.readable().await.is_err() {
                         return;
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -6,6 +6,7 @@
 pub mod config;
 pub mod discovery;
 pub mod driver;
+pub mod guard;
 pub mod ingress;
 pub mod peers;
 pub mod shutdown;
@@ -70,7 +71,8 @@
         peers.clone(),
     );
     let bytes = budget::Bytes::new((config.memory as f64 * BODIES) as usize);
-    let ingress = ingress::Ingress::new(driver.clone(), names, sockets, bytes);
+    let ids = guard::OpenIds::new(longest_deadline);
+    let ingress = ingress::Ingress::new(driver.clone(), names, sockets, bytes, ids);
 
     let tried = Rc::new(Notify::new());
     let version = config.known.as_ref().map_or(0, |known| known.seq);
--- a/src/sidecar/stream.rs
+++ b/src/sidecar/stream.rs
@@ -14,8 +14,8 @@
 
 /// What is told of a socket's traffic, and may hold writing up.
 pub trait Observer {
-    /// Bytes came in; 0: the peer sends no more.
-    fn on_read(&self, _n: usize) {}
+    /// These bytes came in; none: the peer sends no more.
+    fn on_read(&self, _bytes: &[u8]) {}
     /// How many of these bytes may be written now.
     fn allow(&self, bytes: &[u8], _cx: &mut Context<'_>) -> Poll<usize> {
         Poll::Ready(bytes.len())
@@ -51,9 +51,10 @@
     ) -> Poll<io::Result<()>> {
         loop {
             ready!(self.socket.poll_read_ready(cx))?;
+            let before = buf.filled().len();
             match self.socket.try_read_buf(buf) {
-                Ok(n) => {
-                    self.observer.on_read(n);
+                Ok(_) => {
+                    self.observer.on_read(&buf.filled()[before..]);
                     return Poll::Ready(Ok(()));
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => continue,
--- a/src/sidecar/upstream.rs
+++ b/src/sidecar/upstream.rs
@@ -17,6 +17,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
@@ -27,12 +28,20 @@
 
 /// Answers up to this size are read whole before their outcome is told.
 pub const WHOLE: usize = 64 << 10;
-/// The most that hyper reads ahead, and so the longest head.
-const READ_AHEAD: usize = 64 << 10;
-/// How long all but a request's last byte is on a connection before that byte follows.
-const TRIAL: Duration = Duration::from_millis(4);
+/// The most that hyper reads ahead, and so the longest head. Danger: an answer whose head does not
+/// end fills it, on every connection at once.
+const READ_AHEAD: usize = 16 << 10;
+/// How long all but a request's last byte is on a connection before that byte follows. Danger: it
+/// is part of every answer time.
+const TRIAL: Duration = Duration::from_millis(1);
 /// The same for a request that must not be sent again once it may have run.
-const LONG_TRIAL: Duration = Duration::from_millis(12);
+const LONG_TRIAL: Duration = Duration::from_millis(4);
+/// How long an answer that has begun may stand still. It is written in one go, so what stops is cut
+/// short or was given too great a length. Danger: over a line that loses packets an answer may
+/// pause for as long as its system takes to send them again, some 200 ms.
+const STANDSTILL: Duration = Duration::from_millis(100);
+/// How long an attempt may wait for a socket that others hold.
+const PLACE_WAIT: Duration = Duration::from_millis(50);
 /// How long a connection may take to be ready for the next request after an answer.
 const SETTLE: Duration = Duration::from_millis(50);
 /// How long the rest of an answer that nobody wants may take before its connection is closed.
@@ -48,6 +57,8 @@
     pub headers: HeaderMap,
     /// Sent twice, it does no harm.
     pub repeatable: bool,
+    /// Its answer may be long, and take its time.
+    pub streaming: bool,
     /// The body in pieces.
     pub body: Vec<Bytes>,
     /// What the body takes of the budget.
@@ -101,6 +112,9 @@
     whole: Cell<bool>,
     held: Cell<bool>,
     waker: Cell<Option<Waker>>,
+    /// When bytes of the answer last came.
+    heard: Cell<Option<Instant>>,
+    begun: Notify,
 }
 
 impl Meter {
@@ -110,6 +124,26 @@
         self.body_left.set(body);
         self.whole.set(false);
         self.held.set(true);
+        self.heard.set(None);
+    }
+
+    /// Done when an answer has begun and then stood still for too long.
+    ///
+    /// Guards against lengths greater than the body, heads without end, and servers that die in an
+    /// answer without a word: each would keep its request until its time is up, when a repeat could
+    /// still have been in time.
+    async fn stood_still(&self) {
+        loop {
+            let Some(heard) = self.heard.get() else {
+                self.begun.notified().await;
+                continue;
+            };
+            let still = heard.elapsed();
+            if still >= STANDSTILL {
+                return;
+            }
+            tokio::time::sleep(STANDSTILL - still).await;
+        }
     }
 
     fn release(&self) {
@@ -145,6 +179,19 @@
 }
 
 impl Observer for Meter {
+    fn on_read(&self, bytes: &[u8]) {
+        // Danger: a 1xx answer comes ahead of the work, and the answer itself as late as ever.
+        let interim = bytes.starts_with(b"HTTP/1.")
+            && bytes.get(9) == Some(&b'1')
+            && bytes.ends_with(b"\r\n\r\n");
+        if bytes.is_empty() || (interim && self.heard.get().is_none()) {
+            return;
+        }
+        if self.heard.replace(Some(Instant::now())).is_none() {
+            self.begun.notify_one();
+        }
+    }
+
     fn holds(&self) -> bool {
         self.held.get()
     }
@@ -253,6 +300,17 @@
     }
 }
 
+/// Whether an answer says that its request was turned away unseen.
+fn turns_away(response: &Response<Incoming>) -> bool {
+    matches!(response.status(), StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT)
+        && response.headers().get("x-unprocessed").is_some_and(|v| v == "1")
+}
+
+/// What has become of a request whose connection is of no more use before its answer's head.
+fn unfinished(meter: &Meter) -> Outcome {
+    if meter.whole.get() { Outcome::Reset } else { Outcome::ConnectFailed }
+}
+
 /// All connections to servers.
 pub struct Upstream {
     idle: RefCell<HashMap<ServerId, Vec<Connection>>>,
@@ -324,6 +382,7 @@
     }
 
     /// A place for one more socket. A connection at rest makes room when there is none left.
+    /// Danger: a request that waits here for long may be answered nowhere else.
     async fn place(&self) -> Option<Place> {
         if let Ok(place) = self.sockets.servers.clone().try_acquire_owned() {
             return Some(place);
@@ -335,11 +394,17 @@
                 list.remove(0);
             }
         }
-        self.sockets.servers.clone().acquire_owned().await.ok()
+        timeout(PLACE_WAIT, self.sockets.servers.clone().acquire_owned()).await.ok()?.ok()
     }
 
-    async fn connect(&self, dial: SocketAddr) -> Option<Connection> {
-        let place = self.place().await?;
+    /// A new connection; why there is none tells `Err`.
+    async fn connect(&self, dial: SocketAddr) -> Result<Connection, Outcome> {
+        // For want of a socket here nothing is known of the server.
+        let place = self.place().await.ok_or(Outcome::Moot)?;
+        self.open(dial, place).await.ok_or(Outcome::ConnectFailed)
+    }
+
+    async fn open(&self, dial: SocketAddr, place: Place) -> Option<Connection> {
         let socket = timeout(self.connect_timeout, TcpStream::connect(dial)).await.ok()?.ok()?;
         socket.set_nodelay(true).ok()?;
         let socket = Rc::new(socket);
@@ -369,14 +434,35 @@
         loop {
             let reused = old.is_some();
             let connection = match old.take() {
-                Some(connection) => Some(connection),
+                Some(connection) => Ok(connection),
                 None => self.connect(dial).await,
             };
-            let Some(mut connection) = connection else {
-                return Reached::end(Outcome::ConnectFailed, LoadReport::default());
+            let mut connection = match connection {
+                Ok(connection) => connection,
+                Err(outcome) => return Reached::end(outcome, LoadReport::default()),
+            };
+            let meter = connection.meter.clone();
+            let asked = tokio::select! {
+                biased;
+                asked = self.ask(&mut connection, spec, until) => asked,
+                () = meter.stood_still() => {
+                    return Reached::end(unfinished(&meter), LoadReport::default());
+                }
             };
-            match self.ask(&mut connection, spec, until).await {
-                Ok(response) => return self.answer(server, connection, response).await,
+            match asked {
+                // Danger: what comes before the request is whole was made for another one (a second
+                // copy of the last answer, noise that looks like one), unless it turns this one
+                // away. The server has not begun on it.
+                Ok(response) if !meter.whole.get() && !turns_away(&response) => {
+                    if reused {
+                        continue;
+                    }
+                    return Reached::end(Outcome::ConnectFailed, LoadReport::default());
+                }
+                Ok(response) => {
+                    let streaming = spec.streaming;
+                    return self.answer(server, connection, response, streaming).await;
+                }
                 Err(_) if connection.meter.whole.get() => {
                     return Reached::end(Outcome::Reset, LoadReport::default());
                 }
@@ -426,13 +512,13 @@
         server: ServerId,
         connection: Connection,
         response: Response<Incoming>,
+        streaming: bool,
     ) -> Reached {
+        let turned_away = turns_away(&response);
+        let meter = connection.meter.clone();
         let (head, body) = response.into_parts();
         let report = head.headers.get("x-backend-load").and_then(|v| v.to_str().ok());
         let report = report.map(|text| self.names.report(text)).unwrap_or_default();
-        let turned_away =
-            matches!(head.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT)
-                && head.headers.get("x-unprocessed").is_some_and(|v| v == "1");
         if head.status != StatusCode::OK {
             tokio::task::spawn_local(self.clone().discard(server, connection, body));
             return Reached::end(if turned_away { Outcome::Full } else { Outcome::Error }, report);
@@ -449,7 +535,23 @@
         };
         let mut whole = Vec::new();
         loop {
-            match long.next().await {
+            let too_long = whole.len() > WHOLE || length.is_some_and(|l| l > WHOLE as u64);
+            if too_long && streaming {
+                long.first = Some(whole.into());
+                return Reached::Long(Box::new(long));
+            } else if too_long {
+                // Guards against lengths without sense and answers without end: no body is longer
+                // than the protocol allows, so this is none, and memory is kept for others.
+                return Reached::end(Outcome::Reset, long.report);
+            }
+            let piece = tokio::select! {
+                biased;
+                piece = long.next() => piece,
+                () = meter.stood_still(), if !streaming => {
+                    return Reached::end(Outcome::Reset, long.report);
+                }
+            };
+            match piece {
                 Some(Ok(piece)) => whole.extend_from_slice(&piece),
                 Some(Err(_)) => return Reached::end(Outcome::Reset, long.report),
                 None => {
@@ -457,10 +559,6 @@
                     return Reached::End { outcome: Outcome::Served, report: long.report, answer };
                 }
             }
-            if whole.len() > WHOLE || length.is_some_and(|l| l > WHOLE as u64) {
-                long.first = Some(whole.into());
-                return Reached::Long(Box::new(long));
-            }
         }
     }
 
@@ -476,8 +574,9 @@
     pub async fn probe(&self, dial: SocketAddr, with_report: bool) -> (Outcome, LoadReport) {
         let none = LoadReport::default();
         let asked = async {
-            let Some(mut connection) = self.connect(dial).await else {
-                return (Outcome::ConnectFailed, none.clone());
+            let mut connection = match self.connect(dial).await {
+                Ok(connection) => connection,
+                Err(outcome) => return (outcome, none.clone()),
             };
             let spec = Spec {
                 method: Method::GET,
@@ -488,6 +587,7 @@
                 }),
                 headers: HeaderMap::new(),
                 repeatable: true,
+                streaming: false,
                 body: Vec::new(),
                 account: Account::default(),
             };
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -8,4 +8,5 @@
 mod framing;
 mod outcomes;
 mod reload;
+mod rough;
 mod service;
