Answer at once what is given up, and tell refused clients when to come back

A late request that is given up in an overload was called off at its aim and answered only when its client's time was up (Alarm::Late, given_up). An attempt called off so no longer counts as a failure of its server; silence still does.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -169,8 +169,6 @@
     ended: bool,
     /// A stream has begun: its time no longer runs, and nothing else may be sent.
     streaming: bool,
-    /// Called off at its aim; the client's time runs out without another attempt.
-    given_up: bool,
     attempts: SmallVec<[Attempt; 2]>,
 }
 
@@ -721,10 +719,9 @@
         if request.ended {
             return;
         }
-        out.push(if self.refusable(request) {
-            Action::Refuse { id, retry_after: 0 }
-        } else {
-            Action::Fail { id }
+        out.push(match self.refusable(request) {
+            true => Action::Refuse { id, retry_after: self.retry_after() },
+            false => Action::Fail { id },
         });
         if let Some(request) = self.requests.get_mut(&id) {
             request.ended = true;
@@ -732,6 +729,17 @@
         self.call_off(id, out);
     }
 
+    /// When a client that is refused should come back, where clients are told: when what was measured
+    /// of the fleet has faded. Danger: those refused together must not come back together.
+    fn retry_after(&mut self) -> Micros {
+        let limits = &self.settings.limits;
+        if !limits.retry_after {
+            return 0;
+        }
+        let longest = (1.5 * LATENESS_FADES * self.longest_aim).min(limits.max_retry_after as f64);
+        (longest * (1.0 - 2.0 / 3.0 * self.uniform())) as Micros
+    }
+
     /// After a request's end: calls off what is still out and forgets it when nothing is.
     fn call_off(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else {
@@ -770,7 +778,6 @@
                 deadline: self.now + new.left,
                 ended: false,
                 streaming: false,
-                given_up: false,
                 attempts: SmallVec::new(),
             },
         );
@@ -886,16 +893,12 @@
                 }
                 self.unanswered(id);
                 // Danger: in overload, work that earns no more keeps out what still can. It is
-                // called off, and the client is not told before its time is up: told at once,
-                // it would only come back.
-                let threshold = self.lateness - SHED_FROM;
-                let classes = &self.settings.classes;
-                let waiting = self.requests.get_mut(&id).filter(|r| !r.ended);
-                if let Some(r) = waiting.filter(|r| classes[r.class].late_worth < threshold)
-                    && self.settings.limits.cancel
-                {
-                    r.given_up = true;
-                    self.call_off(id, out);
+                // given up, and the client is told so at once: it may have better to do.
+                let hopeless = |r: &Request| {
+                    self.settings.classes[r.class].late_worth < self.lateness - SHED_FROM
+                };
+                if self.settings.limits.cancel && self.requests.get(&id).is_some_and(hopeless) {
+                    self.end(id, out);
                 }
             }
             Some(Alarm::Overdue(id)) => {
@@ -969,7 +972,7 @@
         if request.ended {
             return self.call_off(id, out);
         }
-        if request.out() > 0 || (request.given_up && !request.streaming) {
+        if request.out() > 0 {
             return;
         }
         // Danger: a stream has no deadline, so nothing else ends a request whose stream ended
@@ -1006,7 +1009,7 @@
         if a.fate != Fate::Out || a.server != server {
             return;
         }
-        let (slot, sent, begun, given_up) = (a.slot, a.sent, a.begun, request.given_up);
+        let (slot, sent, begun) = (a.slot, a.sent, a.begun);
         let (refusals, heavy) = (request.attempts.len(), request.heavy);
         let now = self.now;
         let pause = self.reset_interval as f64 * (0.75 + 0.5 * self.uniform());
@@ -1023,7 +1026,6 @@
             return;
         }
         match outcome {
-            Outcome::Cancelled if given_up => {}
             Outcome::Moot | Outcome::Cancelled => return,
             Outcome::Served | Outcome::Error | Outcome::Full => {
                 s.silent_since = (s.in_flight > 0).then_some(now);
