Cross by our own count when home piles up or is full, and try full servers again soon

A full server's few answers are quick, and refusals told spill nothing; after two tries pick's draws, by that share, found no server away and the request was refused beside idle ones (30 to 40 in 2 s). The other way round, servers that had been full stood idle (0 out, queue 0) for 0.8 s after each refusal while the rest held 5 to 14.

Ruled out: repeats as the cause of the load (they are a part of the refusals, not of the answers' time), least_bad picks of chipless servers (they were trials, some ten in a second), the budget.

So pick looks again where the draws found nothing, no chip, or four more out at home than away (relief); a busy sidecar's ResetInterval shrinks with its rate (qualifies); a refusal as full counts as load (heard). Each of the two socket tests fails without its part.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -32,6 +32,8 @@
 /// The rate, in requests a second, up to which a sidecar is quiet in this sense. Means are to forget
 /// by time: at a busier one each answer weighs less, or they would follow every single answer.
 const QUIET_RATE: f64 = 20.0;
+/// How loaded a refusal as full shows a server to be: more than answers do.
+const FULL_LOAD: f64 = 16.0;
 /// The rate up to which each answer moves the share that crosses in full.
 const SPILL_RATE: f64 = 4.0;
 /// A report is half forgotten after this many of the longest aims.
@@ -54,6 +56,9 @@
 const CROSSING_WORTH: f64 = 4.0;
 /// How far a point of the price lowers far servers' first chance of a draw, before loads are known.
 const CROSSING_SHY: f64 = 80.0;
+/// How many more requests of ours a server at home has out than one away when a crossing pays: what
+/// waits behind so many is late.
+const CROSS_AT: f64 = 4.0;
 /// Seconds over which a sidecar's own rate is taken.
 const RATE_SPAN: f64 = 10.0;
 /// Failures in a row after which trials are no rarer still (each one doubles the pause).
@@ -176,6 +181,11 @@
     fn out(&self) -> usize {
         self.attempts.iter().filter(|a| a.fate == Fate::Out).count()
     }
+    fn cancel(&self, id: RequestId, but: Option<usize>, out: &mut Vec<Action>) {
+        let of = |n: &usize| Some(*n) != but && self.attempts[*n].fate == Fate::Out;
+        let all = (0..self.attempts.len()).filter(of);
+        out.extend(all.map(|attempt| Action::Cancel { id, attempt }));
+    }
     fn untouched(&self) -> bool {
         self.attempts.iter().all(|a| a.fate == Fate::NeverRan)
     }
@@ -545,8 +555,12 @@
         s.silent_since.is_some_and(|t| self.now - t > self.longest_aim as Micros)
     }
 
+    /// Danger: a busy sidecar fills a short queue at once, and it is empty again a moment later. Left
+    /// out for as long as a quiet one leaves it, that server stands idle and the others fill up. Its
+    /// ResetInterval is a few requests' time, too. Where servers stay full this costs a try each time.
     fn qualifies(&self, s: &Server) -> bool {
-        s.chips > 0 || s.received.is_none_or(|t| self.now - t > self.reset_interval)
+        let interval = self.news(self.reset_interval as f64) as Micros;
+        s.chips > 0 || s.received.is_none_or(|t| self.now - t > interval)
     }
 
     /// The weight of one more answer where a quiet sidecar gives it `quiet`.
@@ -617,18 +631,44 @@
         // leaves out all, and refuses what most could serve. A request that finds no healthy server
         // goes to the one that is left out for the shortest time. Beside servers that are down in
         // truth this costs an attempt where a refusal was to be.
-        best.or(least_bad).or(left_out)
+        let chosen = best.or(least_bad).or(left_out);
+        self.relief(request, chosen, best.is_some()).or(chosen)
+    }
+
+    /// A server with chips where the draws found none, or one away for one at home that is loaded by
+    /// our own count. Danger: the share that crosses follows answers, which come late or never where load
+    /// piles up, and draws by it miss all servers away. It pays for nothing where those are as loaded.
+    fn relief(&mut self, request: &Request, found: Option<Slot>, qualified: bool) -> Option<Slot> {
+        let crossing = self.settings.prices.cross_zone > 0.0;
+        let most = match found.map(|slot| &self.servers[slot]) {
+            Some(s) if qualified && (!crossing || self.far(s)) => return None,
+            Some(s) if qualified => self.used(s) - CROSS_AT,
+            // Danger: to a quiet sidecar, a server that holds chips is one that it knows least of.
+            Some(_) if request.attempts.is_empty() && self.rate <= QUIET_RATE => return None,
+            _ => f64::INFINITY,
+        };
+        let start = if most < 0.0 { return None } else { self.rng.next_u64() as usize };
+        let fit = |slot: Slot, chips: bool| {
+            let s = &self.servers[slot];
+            let tried = request.attempts.iter().any(|a| a.slot == slot);
+            let well = self.healthy(s) && (!chips || self.qualifies(s)) && self.warmth(s) >= 1.0;
+            let side = !qualified || (self.far(s) && s.slowness <= CHANCE_SLOW);
+            well && side && !tried && self.used(s) <= most && self.allowed(request, s)
+        };
+        let (after, before) = self.near.split_at(start % self.near.len());
+        let mut all = before.iter().chain(after).copied();
+        let with_chips = all.clone().find(|&slot| fit(slot, true));
+        with_chips.or_else(|| all.find(|&slot| found.is_none() && fit(slot, false)))
+    }
+
+    fn used(&self, s: &Server) -> f64 {
+        f64::from(s.in_flight) / (s.power * self.warmth(s))
     }
 
     /// The less used of two by our own count; what was last heard settles a tie.
     fn less_used(&self, a: Slot, b: Slot) -> Slot {
-        let (x, y) = (&self.servers[a], &self.servers[b]);
-        let used = |s: &Server| f64::from(s.in_flight) / (s.power * self.warmth(s));
-        let (ux, uy) = (used(x), used(y));
-        if ux != uy {
-            return if ux < uy { a } else { b };
-        }
-        if self.cost(x) <= self.cost(y) { a } else { b }
+        let rank = |slot: Slot| (self.used(&self.servers[slot]), self.cost(&self.servers[slot]));
+        if rank(a) <= rank(b) { a } else { b }
     }
 
     /// What is known of a server beyond our own count: its last report, fading towards the usual
@@ -748,11 +788,7 @@
         if request.out() == 0 {
             self.requests.remove(&id);
         } else if self.settings.limits.cancel && !request.streaming {
-            for (attempt, a) in request.attempts.iter().enumerate() {
-                if a.fate == Fate::Out {
-                    out.push(Action::Cancel { id, attempt });
-                }
-            }
+            request.cancel(id, None, out);
         }
     }
 
@@ -859,11 +895,7 @@
             }
         }
         if self.settings.limits.cancel {
-            for (n, a) in request.attempts.iter().enumerate() {
-                if n != attempt && a.fate == Fate::Out {
-                    out.push(Action::Cancel { id, attempt: n });
-                }
-            }
+            request.cancel(id, Some(attempt), out);
         }
     }
 
@@ -1046,16 +1078,17 @@
             }
             Outcome::Full => {
                 self.wipe(slot);
+                // Danger: what a full zone does serve looks quick.
+                self.spill(slot, FULL_LOAD);
                 // Danger: where queues are short, servers refuse long before answers are late.
                 // A refusal is news of the fleet only when the request found no place at all.
                 if refusals >= FULL_TRIES {
                     self.feel(slot, class, aim);
                 }
             }
-            // Danger: what runs out first is often the client's time, not the server's life: hurried
-            // clients, long queues and lost answers would have well servers left out, and their load
-            // pile up on the others. Only silence for longer than an aim makes it a failure; a
-            // server that answers some and never others is left to its answer times.
+            // Danger: hurried clients, long queues and lost answers would have well servers left out,
+            // and their load pile up on the others. Only silence for longer than an aim is a failure;
+            // a server that answers some and never others is left to its answer times.
             Outcome::TimedOut if !silent => {}
             _ => self.failed(slot, outcome, sent, pause),
         }
--- a/tests/sidecar/choice.rs
+++ b/tests/sidecar/choice.rs
@@ -1,4 +1,6 @@
-//! Where requests go.
+//! Where requests go when servers are loaded, full or cut off.
+
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 
@@ -16,6 +18,70 @@
     request.replace("Left-Ms: 900", "Left-Ms: 60000")
 }
 
+/// Danger: a zone whose servers stall answers nothing, so nothing tells the share that crosses. What
+/// is out at home shows at once, and the rest goes where nothing waits, dear as it is.
+#[test]
+fn what_piles_up_at_home_crosses_at_once() {
+    let (home, _, _) = servers(3, |mut conn, _| {
+        conn.ended();
+        None
+    });
+    let (away, crossed, _) = servers(1, |mut conn, _| {
+        conn.send(ok("fine"));
+        Some(conn)
+    });
+    let mut hosts = hosts(&home);
+    let mut far = host("s-away", away[0].address);
+    far["site"] = json!("b");
+    hosts.push(far);
+    let agent = Agent::start(hosts);
+    let sidecar = Sidecar::start(&config(agent.address, |c| {
+        c["settings"]["prices"] = json!({"crossZone": 0.06});
+        patient(c, 60, 90);
+    }));
+    let mut open = Vec::new();
+    for _ in 0..120 {
+        let mut client = sidecar.client();
+        client.send(with_time(safe()));
+        open.push(client);
+    }
+    // By its share, some twelve would. Even if all were out at once, a server away gets no more than
+    // four less than each of those at home.
+    within("what would wait has crossed", || crossed.count() >= 24);
+}
+
+/// Danger: a short queue is full at one moment and empty at the next. A busy sidecar that leaves its
+/// server out for as long as a quiet one does leaves it idle.
+#[test]
+fn a_server_that_was_full_is_soon_tried_again() {
+    const FULL: &str = "HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
+    let log = |full: bool| {
+        let (log, seen) = Log::new();
+        let taken = log.clone();
+        let server = Server::start(move |mut conn| {
+            while let Some(seen) = taken.take(&mut conn) {
+                let first = full && seen.nth == 1;
+                conn.send(if first { FULL.to_owned() } else { ok("fine") });
+            }
+        });
+        (server, log, seen)
+    };
+    let ((full, tried, _a), (other, _, _b)) = (log(true), log(false));
+    let agent = Agent::start(hosts(&[full, other]));
+    let config = config(agent.address, |c| patient(c, 10, 16));
+    let sidecar = Sidecar::start(&config);
+    within("refused once", || {
+        assert_eq!(sidecar.ask(with_time(safe())).status(), 200);
+        tried.count() == 1
+    });
+    let since = Instant::now();
+    // Well within the longest deadline, which is a quiet sidecar's interval.
+    while tried.count() < 2 && since.elapsed() < Duration::from_secs(12) {
+        assert_eq!(sidecar.ask(with_time(safe())).status(), 200);
+    }
+    assert!(tried.count() >= 2, "not tried again in {:?}", since.elapsed());
+}
+
 /// Danger: hurried clients' time runs out at well servers. Left out for that, they leave their share
 /// of everybody else's requests to the others.
 #[test]
