Wait for late requests instead of giving them up

The class whose late answers still earn a fifth was called off when a third of the fleet's answers were late, its work was done all the same where servers do not drop what is cancelled, and clients came back with it.

So Alarm::Late only tells of lateness now. A request ends when it is answered, when nothing more can come of it, or with its client's time; each of these is told at once, and nothing is held back.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -924,14 +924,6 @@
                     return;
                 }
                 self.unanswered(id);
-                // Danger: in overload, work that earns no more keeps out what still can. It is
-                // given up, and the client is told so at once: it may have better to do.
-                let hopeless = |r: &Request| {
-                    self.settings.classes[r.class].late_worth < self.lateness - SHED_FROM
-                };
-                if self.settings.limits.cancel && self.requests.get(&id).is_some_and(hopeless) {
-                    self.end(id, out);
-                }
             }
             Some(Alarm::Overdue(id)) => {
                 let open = self.requests.get(&id).is_some_and(|r| !r.ended && !r.streaming);
