Send to who was full and has nothing out before who holds chips and has much out

At one sidecar 60 to 120 picks a second were taken from a chipless server by relief, at the other redraws found none but chip holders.

At fault: relief took the first server with chips however much it had out; pick let any qualified server go before a chipless one. Now, at a busy sidecar, one with CROSS_AT more out than a chipless one does not go before it, and relief takes the least used that fits. Where a server stays full this costs a try each.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -56,8 +56,8 @@
 const CROSSING_WORTH: f64 = 4.0;
 /// How far a point of the price lowers far servers' first chance of a draw, before loads are known.
 const CROSSING_SHY: f64 = 80.0;
-/// How many more requests of ours a server at home has out than one away when a crossing pays: what
-/// waits behind so many is late.
+/// How many more requests of ours a server at home has out than one away when a crossing pays, and how
+/// many more one with chips than one without: what waits behind so many is late.
 const CROSS_AT: f64 = 4.0;
 /// Seconds over which a sidecar's own rate is taken.
 const RATE_SPAN: f64 = 10.0;
@@ -631,6 +631,10 @@
         // leaves out all, and refuses what most could serve. A request that finds no healthy server
         // goes to the one that is left out for the shortest time. Beside servers that are down in
         // truth this costs an attempt where a refusal was to be.
+        // Danger: where some queues are short, all that they refuse piles up on those that hold chips and
+        // is late there. A chipless one with little out is free sooner, or costs a busy sidecar a try.
+        let less = least_bad.map_or(f64::MAX, |slot| self.used(&self.servers[slot]) + CROSS_AT);
+        let best = best.filter(|&b| self.rate <= QUIET_RATE || self.used(&self.servers[b]) < less);
         let chosen = best.or(least_bad).or(left_out);
         self.relief(request, chosen, best.is_some()).or(chosen)
     }
@@ -645,7 +649,8 @@
             Some(s) if qualified => self.used(s) - CROSS_AT,
             // Danger: to a quiet sidecar, a server that holds chips is one that it knows least of.
             Some(_) if request.attempts.is_empty() && self.rate <= QUIET_RATE => return None,
-            _ => f64::INFINITY,
+            Some(s) => self.used(s) + CROSS_AT,
+            None => f64::INFINITY,
         };
         let start = if most < 0.0 { return None } else { self.rng.next_u64() as usize };
         let fit = |slot: Slot, chips: bool| {
@@ -656,9 +661,12 @@
             well && side && !tried && self.used(s) <= most && self.allowed(request, s)
         };
         let (after, before) = self.near.split_at(start % self.near.len());
-        let mut all = before.iter().chain(after).copied();
-        let with_chips = all.clone().find(|&slot| fit(slot, true));
-        with_chips.or_else(|| all.find(|&slot| found.is_none() && fit(slot, false)))
+        let least = |chips: bool| {
+            let all = after.iter().chain(before).copied().filter(|&slot| fit(slot, chips));
+            let used = |slot: &Slot| self.used(&self.servers[*slot]);
+            all.min_by(|a, b| used(a).total_cmp(&used(b)))
+        };
+        least(true).or_else(|| found.is_none().then(|| least(false)).flatten())
     }
 
     fn used(&self, s: &Server) -> f64 {
--- a/tests/sidecar/choice.rs
+++ b/tests/sidecar/choice.rs
@@ -1,5 +1,7 @@
 //! Where requests go when servers are loaded, full or cut off.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
@@ -82,6 +84,49 @@
     assert!(tried.count() >= 2, "not tried again in {:?}", since.elapsed());
 }
 
+/// Danger: a server with a short queue is out of chips as soon as it was full once, and all that it
+/// refuses piles up on one that is not, however much that has out.
+#[test]
+fn who_was_full_and_has_nothing_out_goes_before_who_has_much_out() {
+    let full = Arc::new(AtomicBool::new(false));
+    let (short, asked, _a) = servers(1, {
+        let full = full.clone();
+        move |mut conn, _| {
+            let headers = "X-Unprocessed: 1\r\n";
+            let refused = || answer("503 Full", headers, "");
+            conn.send(if full.load(Ordering::SeqCst) { refused() } else { ok("fine") });
+            Some(conn)
+        }
+    });
+    let (long, waits, _b) = servers(1, |mut conn, _| {
+        conn.ended();
+        None
+    });
+    let agent = Agent::start(vec![host("s-0", short[0].address), host("s-1", long[0].address)]);
+    let sidecar = Sidecar::start(&config(agent.address, |c| patient(c, 60, 90)));
+    let mut open = Vec::new();
+    let mut ask = || {
+        let before = (asked.count(), waits.count());
+        let mut client = sidecar.client();
+        client.send(with_time(safe()));
+        open.push(client);
+        before
+    };
+    // More than twenty a second, as it counts them, are not a quiet sidecar's.
+    for _ in 0..400 {
+        let before = ask();
+        within("asked", || (asked.count(), waits.count()) != before);
+    }
+    full.store(true, Ordering::SeqCst);
+    let before = asked.count();
+    for _ in 0..40 {
+        let (_, waiting) = ask();
+        within("waits", || waits.count() > waiting);
+    }
+    let tried = asked.count() - before;
+    assert!(tried >= 20, "tried for {tried} of 40");
+}
+
 /// Danger: hurried clients' time runs out at well servers. Left out for that, they leave their share
 /// of everybody else's requests to the others.
 #[test]
