Split the program into packages: core, engine, HTTP front, daemon, testkit

The library to come, and the fronts after it, need the engine without the clients' side and the decisions without a runtime. Moved, not rewritten: coppercart keeps the sans-I/O core, millethook-engine drives it, millethook-http is the clients' side, plankvale the daemon, and the stand-ins of the socket tests are millethook-testkit.

The circle discovery -> driver -> peers is gone: sources of news call a small trait and know no driver, and datagrams leave through another.

--- /dev/null
+++ b/crates/coppercart/src/lib.rs
@@ -0,0 +1,10 @@
+//! coppercart: the decisions of a client-side load balancer that every client runs for itself.
+//!
+//! They are a sans-I/O state machine, [`decide::Balancer`]: events in, actions out. Nothing here
+//! depends on a runtime, a clock or a socket.
+#![forbid(unsafe_code)]
+
+pub mod api;
+pub mod decide;
+pub mod settings;
+pub mod wire;
--- a/tests/adapter.rs
+++ b/crates/coppercart/tests/adapter.rs
@@ -72,7 +72,7 @@
 
 #[test]
 fn settings_that_cannot_serve_are_a_fault_that_names_the_key() {
-    let mut json = common::settings_json();
+    let mut json = millethook_testkit::settings_json();
     json["me"] = 9.into();
     for (text, key) in [(json.to_string(), "me"), ("nonsense".into(), "settings")] {
         let out = run(&frame(&[on(3), up(&text)], text.as_bytes()));
@@ -93,7 +93,7 @@
 
 #[test]
 fn an_instance_may_stop_and_start_in_one_batch() {
-    let text = common::settings_json().to_string();
+    let text = millethook_testkit::settings_json().to_string();
     let exit = record(&[&[9]]);
     let records = [on(3), up(&text), exit, up(&text)];
     let out = run(&frame(&records, text.as_bytes()));
--- a/src/sidecar/discovery.rs
+++ b/crates/millethook-engine/src/discovery.rs
@@ -1,10 +1,12 @@
-//! The list of servers: asked for, watched, and told to the driver. Only whole answers count.
+//! The list of servers: asked for, watched, and told to whoever wants the news. Only whole answers count.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use coppercart::api::ListKind;
+use coppercart::settings::Discovery as How;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HOST;
@@ -15,10 +17,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
-use super::config::List;
-use super::driver::Driver;
-use crate::api::ListKind;
-use crate::settings::Discovery as How;
+use crate::list::List;
+use crate::news::News;
 
 /// The longest answer: some ten thousand servers.
 const LONGEST: usize = 4 << 20;
@@ -63,17 +63,17 @@
         Discovery { address, how, connection: None, version, tried }
     }
 
-    /// Keeps the driver's list as new as it can be.
-    pub async fn run(mut self, driver: Rc<Driver>, calls: mpsc::UnboundedReceiver<Call>) {
+    /// Keeps the list as new as it can be; `calls` is what the module asks.
+    pub async fn run(mut self, news: impl News, calls: mpsc::UnboundedReceiver<Call>) {
         match self.how {
-            How::Pushed => self.pushed(driver, calls).await,
-            How::Asked => self.asked(driver, calls).await,
+            How::Pushed => self.pushed(&news, calls).await,
+            How::Asked => self.asked(&news, calls).await,
         }
     }
 
     /// Danger: what the agent has counts as told, so a watch is always out. A short hold costs
     /// nothing here, and tells soon when the agent has fallen silent.
-    async fn pushed(&mut self, driver: Rc<Driver>, mut calls: mpsc::UnboundedReceiver<Call>) {
+    async fn pushed(&mut self, news: &impl News, mut calls: mpsc::UnboundedReceiver<Call>) {
         let hold = Duration::from_millis(500);
         let mut whole = true;
         let mut moves = self.address.clone();
@@ -89,7 +89,7 @@
                 }
                 list = self.call((!whole).then_some(hold), GAP) => match list {
                     Some(list) => {
-                        whole = !self.tell(&driver, &list);
+                        whole = !self.tell(news, &list);
                         if list.hosts.is_empty() {
                             // An agent that does not hold calls is not asked without a pause.
                             tokio::time::sleep(AGAIN / 5).await;
@@ -107,7 +107,7 @@
     }
 
     /// Here calls load discovery; the module decides when there is to be one.
-    async fn asked(&mut self, driver: Rc<Driver>, mut calls: mpsc::UnboundedReceiver<Call>) {
+    async fn asked(&mut self, news: &impl News, mut calls: mpsc::UnboundedReceiver<Call>) {
         let hold = Duration::from_secs(4);
         let patience = Duration::from_millis(1500);
         let mut watching = None;
@@ -129,10 +129,10 @@
                         Some(Call::Fetch)
                     }
                     list = self.call(Some(hold), patience) => {
-                        let told = list.is_some_and(|list| self.tell(&driver, &list));
+                        let told = list.is_some_and(|list| self.tell(news, &list));
                         watching = told.then_some(Duration::from_secs(4));
                         if !told {
-                            driver.discovery_failed();
+                            news.discovery_failed();
                         }
                         self.tried.notify_one();
                         continue;
@@ -146,8 +146,8 @@
                 Some(Call::Watch) => watching = Some(Duration::ZERO),
                 Some(Call::Fetch) => {
                     let list = self.call(None, 2 * patience).await;
-                    if !list.is_some_and(|list| self.tell(&driver, &list)) {
-                        driver.discovery_failed();
+                    if !list.is_some_and(|list| self.tell(news, &list)) {
+                        news.discovery_failed();
                     }
                     watching = watching.map(|_| hold);
                     self.tried.notify_one();
@@ -158,12 +158,12 @@
     }
 
     /// Passes a list on; false if it does not go with the one at hand.
-    fn tell(&mut self, driver: &Rc<Driver>, list: &List) -> bool {
+    fn tell(&mut self, news: &impl News, list: &List) -> bool {
         if !list.whole && list.seq < self.version {
             return false;
         }
         self.version = list.seq;
-        driver.servers(if list.whole { ListKind::Whole } else { ListKind::Changes }, list);
+        news.servers(if list.whole { ListKind::Whole } else { ListKind::Changes }, list);
         true
     }
 
--- a/src/sidecar/driver.rs
+++ b/crates/millethook-engine/src/driver.rs
@@ -10,19 +10,20 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
+use coppercart::api::{
+    Action, Event, ListKind, LoadReport, Micros, NewRequest, Outcome, RequestId, ServerId,
+};
+use coppercart::decide::Balancer;
+use coppercart::settings::{ReportHow, Settings};
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
-use super::config::{Host, List, Names};
-use super::discovery::Call;
-use super::peers::Peers;
-use super::upstream::{Head, Long, Reached, Spec, Upstream};
-use crate::api::{
-    Action, Event, ListKind, LoadReport, Micros, NewRequest, Outcome, RequestId, ServerId,
-};
-use crate::decide::Balancer;
-use crate::settings::{ReportHow, Settings};
+use crate::discovery::Call;
+use crate::list::{Host, List};
+use crate::names::Names;
+use crate::news::{News, Tell};
+use crate::upstream::{Head, Long, Reached, Spec, Upstream};
 
 /// A final answer should be on its way this long before the client stops waiting: to get there takes
 /// one or two milliseconds. Of a hurried client's time it is this share at most; the rest is the server's.
@@ -77,6 +78,20 @@
     }
 }
 
+impl News for Rc<Driver> {
+    fn servers(&self, kind: ListKind, list: &List) {
+        Driver::servers(self, kind, list);
+    }
+
+    fn discovery_failed(&self) {
+        self.event(Event::Servers { kind: ListKind::Failed, entries: &[] });
+    }
+
+    fn note(&self, from: u32, data: &[u8]) {
+        self.event(Event::Note { from, data });
+    }
+}
+
 /// What a client's request says of itself.
 pub struct Asked {
     /// Its class's place in the settings.
@@ -132,7 +147,7 @@
     names: Rc<Names>,
     upstream: Rc<Upstream>,
     discovery: mpsc::UnboundedSender<Call>,
-    peers: Option<Rc<Peers>>,
+    peers: Option<Rc<dyn Tell>>,
     probe_reports: bool,
     /// The module's timers, the next to run out first, and word of a new one.
     timers: RefCell<BinaryHeap<Reverse<(Instant, u32)>>>,
@@ -147,7 +162,7 @@
         names: Rc<Names>,
         upstream: Rc<Upstream>,
         discovery: mpsc::UnboundedSender<Call>,
-        peers: Option<Rc<Peers>>,
+        peers: Option<Rc<dyn Tell>>,
     ) -> Rc<Driver> {
         // `born_ms` of servers is Unix time, so the module's clock is, too; it never steps back.
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -305,7 +320,7 @@
         self.forget(id);
     }
 
-    /// Discovery's news.
+    /// A list of servers, or what changed in it.
     pub fn servers(self: &Rc<Driver>, kind: ListKind, list: &List) {
         {
             let mut core = self.core.borrow_mut();
@@ -340,16 +355,6 @@
         self.event(Event::Servers { kind, entries: &entries });
     }
 
-    /// A call of discovery failed, or the subscription broke.
-    pub fn discovery_failed(self: &Rc<Driver>) {
-        self.event(Event::Servers { kind: ListKind::Failed, entries: &[] });
-    }
-
-    /// A datagram of another sidecar.
-    pub fn note(self: &Rc<Driver>, from: u32, data: &[u8]) {
-        self.event(Event::Note { from, data });
-    }
-
     /// Whether any server was ever listed.
     pub fn listed(&self) -> bool {
         self.core.borrow().listed
--- /dev/null
+++ b/crates/millethook-engine/src/engine.rs
@@ -0,0 +1,128 @@
+//! Puts an engine together: the driver, its connections, and the sources of its news.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use coppercart::api::ListKind;
+use coppercart::settings::Settings;
+use tokio::net::UdpSocket;
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::task::spawn_local;
+
+use crate::budget::Sockets;
+use crate::discovery::Discovery;
+use crate::driver::Driver;
+use crate::list::List;
+use crate::names::Names;
+use crate::news::Tell;
+use crate::peers::Peers;
+use crate::upstream::Upstream;
+
+/// What an engine is built of.
+pub struct EngineConfig {
+    /// The module's settings.
+    pub settings: Settings,
+    /// The names that stand on sockets for the module's numbers.
+    pub names: Names,
+    /// For random numbers.
+    pub seed: u64,
+    /// The sockets that it may hold.
+    pub sockets: Rc<Sockets>,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// The list of servers as it was last had.
+    pub known: Option<List>,
+    /// The other sidecars, where there is a way to them.
+    pub peers: Option<PeerConfig>,
+}
+
+/// The way to the other sidecars of the tier.
+pub struct PeerConfig {
+    /// Where datagrams arrive.
+    pub listen: SocketAddr,
+    /// The sidecars of the tier, by their numbers.
+    pub peers: Vec<SocketAddr>,
+    /// What is sent there reaches every sidecar of the tier.
+    pub all: Option<SocketAddr>,
+}
+
+/// An engine at work.
+pub struct Engine {
+    /// Takes requests.
+    pub driver: Rc<Driver>,
+    /// The names that stand on sockets for the module's numbers.
+    pub names: Rc<Names>,
+    /// The sockets that it may hold.
+    pub sockets: Rc<Sockets>,
+    /// The longest deadline of a class.
+    pub longest_deadline: Duration,
+    tried: Rc<Notify>,
+    discovery: watch::Sender<SocketAddr>,
+    peers: Option<Rc<Peers>>,
+}
+
+impl Engine {
+    /// Starts an engine on the present `LocalSet`; its tasks end with that.
+    ///
+    /// # Errors
+    /// Names the address that datagrams were to arrive at, if it could not be had.
+    pub async fn start(config: EngineConfig) -> Result<Engine, String> {
+        let peers = match config.peers {
+            Some(PeerConfig { listen, peers, all }) => {
+                let socket = UdpSocket::bind(listen).await;
+                let socket = socket.map_err(|e| format!("peer_listen: {listen}: {e}"))?;
+                Some(Peers::new(socket, peers, all))
+            }
+            None => None,
+        };
+        let names = Rc::new(config.names);
+        let limits = &config.settings.limits;
+        let upstream = Upstream::new(
+            config.sockets.clone(),
+            names.clone(),
+            Duration::from_micros(limits.connect_timeout),
+            Duration::from_micros(limits.conn_idle),
+        );
+        let how = config.settings.discovery;
+        let deadlines = config.settings.classes.iter().map(|c| c.deadline);
+        let longest_deadline = Duration::from_micros(deadlines.max().unwrap_or_default());
+        let (to_discovery, calls) = mpsc::unbounded_channel();
+        let teller = peers.clone().map(|p| p as Rc<dyn Tell>);
+        let driver = Driver::new(
+            config.settings,
+            config.seed,
+            names.clone(),
+            upstream,
+            to_discovery,
+            teller,
+        );
+        let version = config.known.as_ref().map_or(0, |known| known.seq);
+        if let Some(known) = &config.known {
+            driver.servers(ListKind::Remembered, known);
+        }
+        let tried = Rc::new(Notify::new());
+        let (discovery, moves) = watch::channel(config.discovery);
+        let watching = Discovery::new(moves, how, version, tried.clone());
+        spawn_local(watching.run(driver.clone(), calls));
+        if let Some(peers) = peers.clone() {
+            spawn_local(peers.listen(driver.clone()));
+        }
+        let sockets = config.sockets;
+        Ok(Engine { driver, names, sockets, longest_deadline, tried, discovery, peers })
+    }
+
+    /// Waits until discovery has first been tried.
+    pub async fn discovery_tried(&self) {
+        self.tried.notified().await;
+    }
+
+    /// Discovery, and the other sidecars, are elsewhere from now on. Requests under way,
+    /// connections and what is known of servers stay as they are.
+    pub fn moved(&self, discovery: SocketAddr, peers: Vec<SocketAddr>, all: Option<SocketAddr>) {
+        if let Some(known) = &self.peers {
+            known.moved(peers, all);
+        }
+        self.discovery.send_if_modified(|at| std::mem::replace(at, discovery) != discovery);
+    }
+}
--- /dev/null
+++ b/crates/millethook-engine/src/lib.rs
@@ -0,0 +1,18 @@
+//! The engine: what every front and every upstream shares. It carries out the decisions of
+//! [`coppercart`] on sockets; [`driver`] is the only module here that speaks with them.
+//!
+//! An [`Engine`] lives on the thread of one [`tokio::task::LocalSet`], and ends with it.
+#![forbid(unsafe_code)]
+
+pub mod budget;
+pub mod discovery;
+pub mod driver;
+mod engine;
+pub mod list;
+pub mod names;
+pub mod news;
+pub mod peers;
+pub mod stream;
+pub mod upstream;
+
+pub use engine::{Engine, EngineConfig, PeerConfig};
--- /dev/null
+++ b/crates/millethook-engine/src/news.rs
@@ -0,0 +1,22 @@
+//! What the engine's sources and the engine tell one another, so that neither has to know the
+//! other: discovery and peers bring news, and datagrams go out by whatever carries them.
+
+use coppercart::api::ListKind;
+
+use crate::list::List;
+
+/// Whoever wants to hear of servers and other sidecars.
+pub trait News {
+    /// A list of servers, or what changed in it.
+    fn servers(&self, kind: ListKind, list: &List);
+    /// A call of discovery failed, or the subscription broke.
+    fn discovery_failed(&self);
+    /// A datagram of another sidecar, by its number.
+    fn note(&self, from: u32, data: &[u8]);
+}
+
+/// What carries datagrams to other sidecars.
+pub trait Tell {
+    /// Sends a datagram to a sidecar by its number, or to all; it may be lost, like any.
+    fn tell(&self, peer: u32, data: &[u8]);
+}
--- a/src/sidecar/peers.rs
+++ b/crates/millethook-engine/src/peers.rs
@@ -7,7 +7,7 @@
 
 use tokio::net::UdpSocket;
 
-use super::driver::Driver;
+use crate::news::{News, Tell};
 
 /// The longest datagram.
 const LONGEST: usize = 256;
@@ -27,6 +27,18 @@
     everyone: Option<SocketAddr>,
 }
 
+impl Tell for Peers {
+    fn tell(&self, peer: u32, data: &[u8]) {
+        let to = match peer {
+            EVERYONE => self.addresses.borrow().everyone,
+            n => self.addresses.borrow().peers.get(n as usize).copied(),
+        };
+        if let (Some(to), true) = (to, data.len() <= LONGEST) {
+            let _ = self.socket.try_send_to(data, to);
+        }
+    }
+}
+
 impl Peers {
     /// `socket` is bound to where datagrams arrive.
     pub fn new(
@@ -42,19 +54,8 @@
         self.addresses.replace(Addresses { peers, everyone });
     }
 
-    /// Sends a datagram; it may be lost, like any.
-    pub fn tell(&self, peer: u32, data: &[u8]) {
-        let to = match peer {
-            EVERYONE => self.addresses.borrow().everyone,
-            n => self.addresses.borrow().peers.get(n as usize).copied(),
-        };
-        if let (Some(to), true) = (to, data.len() <= LONGEST) {
-            let _ = self.socket.try_send_to(data, to);
-        }
-    }
-
     /// Takes in datagrams. Those of strangers and those that are too long are passed over.
-    pub async fn listen(self: Rc<Peers>, driver: Rc<Driver>) {
+    pub async fn listen(self: Rc<Peers>, news: impl News) {
         let mut buf = [0; LONGEST + 1];
         loop {
             // An error tells of a datagram that was sent, and that no reader waited for. Danger: an
@@ -65,7 +66,7 @@
             };
             let peer = self.addresses.borrow().peers.iter().position(|&p| p == from);
             if let (Some(peer), true) = (peer, n <= LONGEST) {
-                driver.note(peer as u32, &buf[..n]);
+                news.note(peer as u32, &buf[..n]);
             }
         }
     }
--- a/src/sidecar/upstream.rs
+++ b/crates/millethook-engine/src/upstream.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use coppercart::api::{LoadReport, Outcome, ServerId};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -21,10 +22,9 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
-use super::budget::{Account, Place, Sockets};
-use super::config::Names;
-use super::stream::{self, Observer, Stream};
-use crate::api::{LoadReport, Outcome, ServerId};
+use crate::budget::{Account, Place, Sockets};
+use crate::names::Names;
+use crate::stream::{self, Observer, Stream};
 
 /// Answers up to this size are read whole before their outcome is told.
 pub const WHOLE: usize = 64 << 10;
--- a/src/sidecar/guard.rs
+++ b/crates/millethook-http/src/guard.rs
@@ -5,10 +5,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use millethook_engine::names::stable_hash;
 use rustc_hash::FxHashSet;
 
-use super::config::stable_hash;
-
 /// The longest header name that is looked for.
 const NAME: usize = "transfer-encoding".len();
 /// Ids that are remembered of one span at most; more requests than that come to no sidecar.
--- a/src/sidecar/ingress.rs
+++ b/crates/millethook-http/src/ingress.rs
@@ -10,6 +10,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
+use coppercart::api::Micros;
+use coppercart::settings::Repeat;
 use http_body_util::{BodyExt, Either, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -17,19 +19,17 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use millethook_engine::budget::{self, Account, LONGEST_BODY, Place, Sockets};
+use millethook_engine::driver::{Asked, Driver, LongReply, Reply};
+use millethook_engine::names::{Names, stable_hash};
+use millethook_engine::stream::{self, Observer, Stream};
+use millethook_engine::upstream::Spec;
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc};
 use tokio::time::{sleep, timeout};
 
-use super::budget::{self, Account, LONGEST_BODY, Place, Sockets};
-use super::config::{Names, stable_hash};
-use super::driver::{Asked, Driver, LongReply, Reply};
-use super::guard::{HeadScan, OpenIds};
-use super::stream::{self, Observer, Stream};
-use super::upstream::Spec;
-use crate::api::Micros;
-use crate::settings::Repeat;
+use crate::guard::{HeadScan, OpenIds};
 
 /// The most that hyper reads ahead, and so the longest head. Danger: each of a crowd of clients may
 /// fill as much.
--- /dev/null
+++ b/crates/millethook-http/src/lib.rs
@@ -0,0 +1,5 @@
+//! The front for clients that speak HTTP/1.1: their connections, and the requests that come on them.
+#![forbid(unsafe_code)]
+
+pub mod guard;
+pub mod ingress;
--- /dev/null
+++ b/crates/millethook-testkit/src/daemon.rs
@@ -0,0 +1,186 @@
+//! The daemon's process.
+
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, channel};
+use std::thread;
+
+use serde_json::{Value, json};
+
+use crate::{Agent, Conn, Message, Server, hosts, next, settings_json, within};
+
+/// A configuration for a sidecar of these peers.
+pub fn config(discovery: SocketAddr, change: impl FnOnce(&mut Value)) -> Value {
+    let mut settings = settings_json();
+    settings["kinds"] = json!(["std"]);
+    settings["limits"]["connectTimeout"] = json!(1_000_000);
+    settings["tenants"] = json!([{"name": "acme", "quotaPerS": 1000.0, "share": 1.0}]);
+    let mut config = json!({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(),
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "settings": settings,
+    });
+    change(&mut config);
+    config
+}
+
+/// The path of a program of this workspace, beside which the test's own program was built.
+///
+/// # Panics
+/// If it has not been built.
+pub fn program(name: &str) -> PathBuf {
+    let mut path = std::env::current_exe().expect("a test knows its own path");
+    path.pop();
+    if path.ends_with("deps") || path.ends_with("examples") {
+        path.pop();
+    }
+    path.push(name);
+    assert!(path.exists(), "{}: build it first: cargo build -p {name}", path.display());
+    path
+}
+
+static FILES: AtomicUsize = AtomicUsize::new(0);
+
+pub fn command(config: &str) -> (Command, PathBuf) {
+    let n = FILES.fetch_add(1, Ordering::SeqCst);
+    let name = format!("plankvale-test-{}-{n}.json", std::process::id());
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, config).unwrap();
+    let mut command = Command::new(program("plankvale"));
+    command.env_clear().env("LB_CONFIG", &path).stdin(Stdio::null());
+    command.stdout(Stdio::piped()).stderr(Stdio::piped());
+    (command, path)
+}
+
+/// Runs a sidecar that cannot start.
+pub fn fails(config: &str, env: &[(&str, &str)]) -> Output {
+    let (mut command, path) = command(config);
+    let output = command.envs(env.iter().copied()).output().unwrap();
+    let _ = std::fs::remove_file(path);
+    output
+}
+
+pub struct Sidecar {
+    pub child: Child,
+    pub address: SocketAddr,
+    path: PathBuf,
+    log: Mutex<Receiver<String>>,
+}
+
+impl Sidecar {
+    /// Starts one and waits until it is ready.
+    pub fn start(config: &Value) -> Sidecar {
+        let sidecar = Sidecar::launch(config);
+        within("ready", || {
+            let mut client = sidecar.client();
+            client.send("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+            client.message().is_some_and(|m| m.status() == 200)
+        });
+        sidecar
+    }
+
+    /// Starts one and waits until it listens.
+    pub fn launch(config: &Value) -> Sidecar {
+        let (mut command, path) = command(&config.to_string());
+        let mut child = command.spawn().unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let address = loop {
+            let mut line = String::new();
+            assert_ne!(log.read_line(&mut line).unwrap(), 0, "the sidecar ended");
+            if let Some((_, at)) = line.trim().split_once("listens on ") {
+                break at.parse().unwrap();
+            }
+        };
+        let (tell, told) = channel();
+        thread::spawn(move || {
+            for line in log.lines().map_while(Result::ok) {
+                let _ = tell.send(line);
+            }
+        });
+        Sidecar { child, address, path, log: Mutex::new(told) }
+    }
+
+    /// One with as many servers as given and an agent that lists them.
+    pub fn of(servers: &[Server]) -> (Sidecar, Agent) {
+        let agent = Agent::start(hosts(servers));
+        (Sidecar::start(&config(agent.address, |_| {})), agent)
+    }
+
+    pub fn client(&self) -> Conn {
+        Conn::new(TcpStream::connect(self.address).unwrap())
+    }
+
+    /// One whose classes have long answers, with as many servers as given.
+    pub fn streaming(servers: &[Server]) -> (Sidecar, Agent) {
+        let agent = Agent::start(hosts(servers));
+        let config = config(agent.address, |c| {
+            for class in c["settings"]["classes"].as_array_mut().unwrap() {
+                class["streaming"] = json!(true);
+            }
+        });
+        (Sidecar::start(&config), agent)
+    }
+
+    /// Sends one request on a new connection and reads its answer.
+    pub fn ask(&self, request: impl AsRef<[u8]>) -> Message {
+        let mut client = self.client();
+        client.send(request);
+        client.message().expect("an answer")
+    }
+
+    fn signal(&self, which: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([which, &pid]).status().unwrap().success());
+    }
+
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Replaces the file of the configuration and tells the sidecar.
+    pub fn reload(&self, config: &str) {
+        let new = self.path.with_extension("new");
+        std::fs::write(&new, config).unwrap();
+        std::fs::rename(&new, &self.path).unwrap();
+        self.signal("-HUP");
+    }
+
+    /// Waits for a line of its log that holds `text`.
+    pub fn logged(&self, text: &str) {
+        let log = self.log.lock().unwrap();
+        while !next(&log).contains(text) {}
+    }
+
+    pub fn exit_code(&mut self) -> Option<i32> {
+        let mut status = None;
+        within("exit", || {
+            status = self.child.try_wait().unwrap();
+            status.is_some()
+        });
+        status.and_then(|s| s.code())
+    }
+
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
+    /// The most memory that it has had so far, in MB.
+    pub fn memory_mb(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|l| l.starts_with("VmHWM:")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse::<usize>().unwrap() / 1024
+    }
+}
+
+impl Drop for Sidecar {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.path);
+    }
+}
--- /dev/null
+++ b/crates/millethook-testkit/src/lib.rs
@@ -0,0 +1,19 @@
+//! Small scripted stand-ins for tests, all on loopback: servers, discovery, clients, and the daemon's
+//! process. Every wait has a bound, far beyond what it takes.
+#![forbid(unsafe_code)]
+
+mod agent;
+mod daemon;
+mod message;
+mod requests;
+mod server;
+mod settings;
+mod wait;
+
+pub use agent::{Agent, whole};
+pub use daemon::{Sidecar, command, config, fails, program};
+pub use message::{Conn, Message, answer, ok};
+pub use requests::{keyed, left, safe, safe_as, unsafe_with};
+pub use server::{Log, Seen, Server, host, hosts, servers};
+pub use settings::settings_json;
+pub use wait::{BOUND, next, within};
--- /dev/null
+++ b/crates/millethook-testkit/src/message.rs
@@ -0,0 +1,134 @@
+//! Messages, and one end of a connection that a test scripts.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+use crate::BOUND;
+
+/// A message as it came: its first line, its headers in lower case, and its body.
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    pub first: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+    /// It came to its end.
+    pub whole: bool,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|h| h.0 == name).map(|h| h.1.as_str())
+    }
+
+    pub fn status(&self) -> u16 {
+        self.first.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+}
+
+/// One end of a connection, scripted by a test.
+pub struct Conn {
+    pub socket: TcpStream,
+    reader: BufReader<TcpStream>,
+}
+
+impl Conn {
+    pub fn new(socket: TcpStream) -> Conn {
+        socket.set_read_timeout(Some(BOUND)).unwrap();
+        socket.set_nodelay(true).unwrap();
+        let reader = BufReader::new(socket.try_clone().unwrap());
+        Conn { socket, reader }
+    }
+
+    pub fn send(&mut self, bytes: impl AsRef<[u8]>) {
+        // A peer that has gone shows where its answer is read.
+        let _ = self.socket.write_all(bytes.as_ref());
+    }
+
+    /// Reads a head; None: the connection ended first.
+    pub fn head(&mut self) -> Option<Message> {
+        let mut lines = Vec::new();
+        loop {
+            let mut line = String::new();
+            if self.reader.read_line(&mut line).ok()? == 0 || !line.ends_with('\n') {
+                return None;
+            }
+            let line = line.trim_end().to_owned();
+            if line.is_empty() {
+                break;
+            }
+            lines.push(line);
+        }
+        let mut lines = lines.into_iter();
+        let first = lines.next()?;
+        let headers = lines.filter_map(|l| {
+            let (name, value) = l.split_once(':')?;
+            Some((name.to_ascii_lowercase(), value.trim().to_owned()))
+        });
+        Some(Message { first, headers: headers.collect(), ..Message::default() })
+    }
+
+    /// Reads a whole message. None: nothing came; one that breaks off is not `whole`.
+    pub fn message(&mut self) -> Option<Message> {
+        let mut message = self.head()?;
+        let body = &mut message.body;
+        message.whole = if message.headers.iter().any(|h| h.0 == "transfer-encoding") {
+            chunks(&mut self.reader, body).is_some()
+        } else {
+            let length = message.headers.iter().find(|h| h.0 == "content-length");
+            let length = length.map_or(0, |h| h.1.parse::<u64>().unwrap());
+            let got = (&mut self.reader).take(length).read_to_end(body);
+            got.is_ok() && body.len() as u64 == length
+        };
+        Some(message)
+    }
+
+    /// Whether the peer has ended or reset the connection, within the bound.
+    pub fn ended(&mut self) -> bool {
+        let mut rest = [0; 4096];
+        loop {
+            match self.reader.read(&mut rest) {
+                Ok(0) => return true,
+                Ok(_) => continue,
+                Err(e) => {
+                    use std::io::ErrorKind::{TimedOut, WouldBlock};
+                    return !matches!(e.kind(), TimedOut | WouldBlock);
+                }
+            }
+        }
+    }
+
+    /// Ends it by a reset.
+    pub fn reset(self) {
+        let socket = socket2::SockRef::from(&self.socket);
+        socket.set_linger(Some(Duration::ZERO)).unwrap();
+    }
+}
+
+fn chunks(reader: &mut impl BufRead, body: &mut Vec<u8>) -> Option<()> {
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok()?;
+        let size = line.trim().split(';').next()?;
+        let size = u64::from_str_radix(size, 16).ok()?;
+        let before = body.len() as u64;
+        reader.take(size).read_to_end(body).ok()?;
+        if body.len() as u64 != before + size {
+            return None;
+        }
+        line.clear();
+        reader.read_line(&mut line).ok()?;
+        if size == 0 {
+            return (line == "\r\n").then_some(());
+        }
+    }
+}
+
+/// An answer of a server, its length announced.
+pub fn ok(body: &str) -> String {
+    answer("200 OK", "", body)
+}
+
+pub fn answer(status: &str, headers: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n{headers}\r\n{body}", body.len())
+}
--- /dev/null
+++ b/crates/millethook-testkit/src/server.rs
@@ -0,0 +1,99 @@
+//! Stand-in servers, and the lists that name them.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
+
+use serde_json::{Value, json};
+
+use crate::{Conn, Message};
+
+/// What a server has seen.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// How many whole requests all servers of the test had seen with this one.
+    pub nth: usize,
+    pub message: Message,
+}
+
+/// A server that does the same with every connection.
+pub struct Server {
+    pub address: SocketAddr,
+}
+
+impl Server {
+    pub fn start(script: impl Fn(Conn) + Send + Sync + 'static) -> Server {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let script = Arc::new(script);
+        thread::spawn(move || {
+            for socket in listener.incoming().flatten() {
+                let script = script.clone();
+                thread::spawn(move || script(Conn::new(socket)));
+            }
+        });
+        Server { address }
+    }
+}
+
+/// Counts and keeps the whole requests that a test's servers see.
+#[derive(Clone)]
+pub struct Log {
+    count: Arc<AtomicUsize>,
+    tell: Sender<Seen>,
+}
+
+impl Log {
+    pub fn new() -> (Log, Receiver<Seen>) {
+        let (tell, told) = channel();
+        (Log { count: Arc::default(), tell }, told)
+    }
+
+    /// Reads a whole request and takes it down.
+    pub fn take(&self, conn: &mut Conn) -> Option<Seen> {
+        let message = conn.message().filter(|m| m.whole)?;
+        Some(self.count_one(message))
+    }
+
+    /// Takes down a request that was read.
+    pub fn count_one(&self, message: Message) -> Seen {
+        let nth = self.count.fetch_add(1, Ordering::SeqCst) + 1;
+        let seen = Seen { nth, message };
+        let _ = self.tell.send(seen.clone());
+        seen
+    }
+
+    pub fn count(&self) -> usize {
+        self.count.load(Ordering::SeqCst)
+    }
+}
+
+/// A number of servers that answer the nth request they see together as `script` says.
+pub fn servers(
+    n: usize,
+    script: impl Fn(Conn, Seen) -> Option<Conn> + Clone + Send + Sync + 'static,
+) -> (Vec<Server>, Log, Receiver<Seen>) {
+    let (log, seen) = Log::new();
+    let start = |_| {
+        let (log, script) = (log.clone(), script.clone());
+        Server::start(move |conn| {
+            let mut next = Some(conn);
+            while let Some(mut conn) = next.take() {
+                let Some(seen) = log.take(&mut conn) else { return };
+                next = script(conn, seen);
+            }
+        })
+    };
+    ((0..n).map(start).collect(), log, seen)
+}
+
+pub fn host(name: &str, at: SocketAddr) -> Value {
+    json!({"host": name, "dial": at.to_string(), "site": "a", "class": "std", "block": 0,
+           "health": "active", "share": 1.0, "born_ms": 0})
+}
+
+pub fn hosts(servers: &[Server]) -> Vec<Value> {
+    servers.iter().enumerate().map(|(i, s)| host(&format!("s-{i}"), s.address)).collect()
+}
--- /dev/null
+++ b/crates/plankvale/src/config.rs
@@ -0,0 +1,135 @@
+//! What the sidecar is told at its start: `LB_CONFIG` and the other `LB_` variables. Everything is
+//! checked here; an error names the key.
+
+use std::net::SocketAddr;
+
+use coppercart::settings::Settings;
+use millethook_engine::list::List;
+use millethook_engine::names::Names;
+use serde::Deserialize;
+use serde_json::Value;
+
+/// With less memory than this even a few clients' buffers would not fit beside the program.
+const LEAST_MEMORY_MB: usize = 16;
+
+/// The configuration, checked.
+pub struct Config {
+    /// This sidecar's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// Bytes of memory that the process may use.
+    pub memory: usize,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
+    /// Where datagrams of other sidecars arrive, if they may come.
+    pub peer_listen: Option<SocketAddr>,
+    /// The sidecars of the tier, by their numbers.
+    pub peers: Vec<SocketAddr>,
+    /// What is sent there reaches every sidecar of the tier.
+    pub peers_all: Option<SocketAddr>,
+    /// The list of servers as this sidecar last had it.
+    pub known: Option<List>,
+    /// The module's settings.
+    pub settings: Settings,
+    /// The names that stand on sockets for the module's numbers.
+    pub names: Names,
+}
+
+#[derive(Deserialize)]
+struct File {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: String,
+    limits: Limits,
+    peer_listen: Option<SocketAddr>,
+    #[serde(default)]
+    peers: Vec<SocketAddr>,
+    peers_all: Option<SocketAddr>,
+    known: Option<List>,
+    settings: Value,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    memory_mb: usize,
+    sockets: usize,
+}
+
+impl Config {
+    /// Reads the configuration that the variables name.
+    pub fn from_env() -> Result<Config, String> {
+        let var = |key: &str| match std::env::var(key) {
+            Ok(value) if !value.is_empty() => Ok(Some(value)),
+            Ok(_) | Err(std::env::VarError::NotPresent) => Ok(None),
+            Err(e) => Err(format!("{key}: {e}")),
+        };
+        let path = var("LB_CONFIG")?.ok_or("LB_CONFIG: the path of the configuration expected")?;
+        let text = std::fs::read(&path).map_err(|e| format!("LB_CONFIG: {path}: {e}"))?;
+        Config::from_json(&text, [var("LB_NAME")?, var("LB_LISTEN")?, var("LB_DISCOVERY")?])
+            .map_err(|e| format!("LB_CONFIG: {e}"))
+    }
+
+    /// Reads a configuration; `env` holds the name and the addresses as the variables have them.
+    fn from_json(text: &[u8], env: [Option<String>; 3]) -> Result<Config, String> {
+        let file: File = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+        let [name, listen, discovery] = env;
+        let name = agreed("name", file.name, "LB_NAME", name)?;
+        let listen = agreed("listen", file.listen, "LB_LISTEN", listen)?;
+        // Danger: a new configuration may move discovery while the variable, which stays what it
+        // was for as long as the process lives, names the old address. The file holds.
+        let discovery = match file.discovery {
+            Some(discovery) => discovery,
+            None => agreed("discovery", None, "LB_DISCOVERY", discovery)?,
+        };
+        let address = |key: &str, text: String| {
+            text.parse().map_err(|_| format!("{key}: an address and a port expected, not {text:?}"))
+        };
+        let seed = u64::from_str_radix(&file.seed, 16)
+            .map_err(|_| format!("seed: 16 hexadecimal digits expected, not {:?}", file.seed))?;
+        if file.limits.sockets < 128 {
+            return Err("limits.sockets: 128 or more expected".into());
+        }
+        if file.limits.memory_mb < LEAST_MEMORY_MB {
+            return Err(format!("limits.memory_mb: {LEAST_MEMORY_MB} or more expected"));
+        }
+        let settings = Settings::from_json(file.settings.to_string().as_bytes())?;
+        if !file.peers.is_empty() && file.peers.len() != settings.instances as usize {
+            return Err("peers: as many as settings.instances expected".into());
+        }
+        let names = Names::new(&settings, &file.settings)?;
+        Ok(Config {
+            name,
+            listen: address("listen", listen)?,
+            discovery: address("discovery", discovery)?,
+            seed,
+            memory: file.limits.memory_mb << 20,
+            sockets: file.limits.sockets,
+            peer_listen: file.peer_listen,
+            peers: file.peers,
+            peers_all: file.peers_all,
+            known: file.known,
+            settings,
+            names,
+        })
+    }
+}
+
+/// A value that may stand in the file, in a variable or, the same, in both.
+fn agreed(
+    key: &str,
+    file: Option<String>,
+    var: &str,
+    env: Option<String>,
+) -> Result<String, String> {
+    match (file, env) {
+        (Some(a), Some(b)) if a != b => Err(format!("{key}: {a:?} here, but {b:?} in {var}")),
+        (Some(value), _) | (None, Some(value)) => Ok(value),
+        (None, None) => Err(format!("{key}: expected here or in {var}")),
+    }
+}
--- a/src/bin/plankvale.rs
+++ b/crates/plankvale/src/main.rs
@@ -3,7 +3,7 @@
 
 use std::process::ExitCode;
 
-use coppercart::sidecar::{self, config::Config};
+use plankvale::config::Config;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::task::{LocalSet, spawn_local};
@@ -33,7 +33,7 @@
         let stop = async move {
             told.recv().await;
         };
-        sidecar::run(config, stop, reloads).await
+        plankvale::run(config, stop, reloads).await
     })
 }
 
--- a/src/sidecar/shutdown.rs
+++ b/crates/plankvale/src/shutdown.rs
@@ -3,10 +3,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use millethook_http::ingress::Ingress;
 use tokio::time::sleep;
 
-use super::ingress::Ingress;
-
 /// New connections go on coming for up to 0.4 s; once none has come for a while after that, the
 /// clients that have nothing under way are let go.
 const COMING: Duration = Duration::from_millis(500);
--- a/tests/sidecar/choice.rs
+++ b/crates/plankvale/tests/sidecar/choice.rs
@@ -4,10 +4,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+use millethook_testkit::*;
 use serde_json::{Value, json};
 
-use crate::support::*;
-
 /// All classes get this much time: nothing that a test waits for is decided by the clock.
 fn patient(config: &mut Value, aim_s: u64, deadline_s: u64) {
     for class in config["settings"]["classes"].as_array_mut().unwrap() {
--- a/tests/sidecar/clients.rs
+++ b/crates/plankvale/tests/sidecar/clients.rs
@@ -3,7 +3,7 @@
 use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
 
-use crate::support::*;
+use millethook_testkit::*;
 
 /// Descriptors that a sidecar in a crowd may hold.
 const SOCKETS: usize = 256;
--- a/tests/sidecar/framing.rs
+++ b/crates/plankvale/tests/sidecar/framing.rs
@@ -4,7 +4,7 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::support::*;
+use millethook_testkit::*;
 
 fn echo() -> (Sidecar, Agent, Log) {
     let (list, log, _) = servers(1, |mut conn, seen| {
--- a/tests/sidecar/main.rs
+++ b/crates/plankvale/tests/sidecar/main.rs
@@ -1,9 +1,5 @@
 //! The sidecar's program against scripted peers on loopback sockets.
 
-#[path = "../common/mod.rs"]
-mod common;
-mod support;
-
 mod choice;
 mod clients;
 mod framing;
--- a/tests/sidecar/outcomes.rs
+++ b/crates/plankvale/tests/sidecar/outcomes.rs
@@ -5,7 +5,7 @@
 use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
 
-use crate::support::*;
+use millethook_testkit::*;
 
 /// The first request that any server sees is answered with `first`, all others with 200.
 fn first_answered(first: &'static str) -> (Sidecar, Agent, Log) {
--- a/tests/sidecar/reload.rs
+++ b/crates/plankvale/tests/sidecar/reload.rs
@@ -2,10 +2,9 @@
 
 use std::sync::mpsc::channel;
 
+use millethook_testkit::*;
 use serde_json::json;
 
-use crate::support::*;
-
 fn named(name: &'static str) -> Server {
     Server::start(move |mut conn| {
         while conn.message().is_some() {
--- a/tests/sidecar/rough.rs
+++ b/crates/plankvale/tests/sidecar/rough.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use crate::support::*;
+use millethook_testkit::*;
 
 fn echo(n: usize) -> (Sidecar, Agent, Log) {
     let (list, log, _) = servers(n, |mut conn, seen| {
--- a/tests/sidecar/service.rs
+++ b/crates/plankvale/tests/sidecar/service.rs
@@ -5,10 +5,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::channel;
 
+use millethook_testkit::*;
 use serde_json::json;
 
-use crate::support::*;
-
 fn named(name: &'static str) -> Server {
     Server::start(move |mut conn| {
         while conn.message().is_some() {
