Give the decisions rooms: picking, subsets, shedding, learning, rules, timers

It is a folder now: picking, subsets and zones, shedding, what is learned of servers, the list of servers, requests, the four rules, timers. The weighted draw and the lateness of the fleet are types of their own, and the end of a request is marked in one place.

--- a/crates/coppercart/src/api.rs
+++ b/crates/coppercart/src/api.rs
@@ -10,12 +10,13 @@
 pub struct RequestId(pub u64);
 
 /// A server, the same at every sidecar. It may be compared and hashed; it tells nothing else.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ServerId(pub u64);
 
 /// What discovery says of a server's process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Health {
+    #[default]
     Ready,
     Draining,
     Gone,
--- /dev/null
+++ b/crates/coppercart/src/decide/learning.rs
@@ -0,0 +1,195 @@
+//! What answers and failures say of a server: chips, loads, answer times, trials.
+
+use super::*;
+
+/// Algorithm 1 of the paper measures a queue against this share of the capacity.
+const CAPACITY_SHARE: f64 = 0.8;
+/// The paper's span for the average of reported queues, and how long no capacity is known.
+const CAPACITY_SPAN: Micros = 30_000_000;
+/// Chips a server can hold here: enough for a burst, few enough that a wipe costs little to regain.
+const MAX_CHIPS: u32 = 16;
+/// How loaded a refusal as full shows a server to be: more than answers do.
+const FULL_LOAD: f64 = 16.0;
+/// Failures in a row after which trials are no rarer still (each one doubles the pause).
+const MAX_DOUBLINGS: u32 = 5;
+
+impl Average {
+    pub(super) fn add(&mut self, now: Micros, queue: f64) {
+        if self.count == 0.0 {
+            self.since = now;
+        }
+        self.sum += queue;
+        self.count += 1.0;
+        if now - self.since >= CAPACITY_SPAN {
+            self.last = Some(self.sum / self.count);
+            (self.sum, self.count) = (0.0, 0.0);
+        }
+    }
+}
+
+impl Balancer {
+    /// What an outcome tells of the server.
+    pub(super) fn heard(
+        &mut self,
+        id: RequestId,
+        attempt: usize,
+        server: ServerId,
+        outcome: Outcome,
+        latency: f64,
+        report: &LoadReport,
+    ) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let open = |a: &&Attempt| a.fate == Fate::Out && a.server == server;
+        let Some(a) = request.attempts.get(attempt).filter(open) else { return };
+        let (slot, sent, begun) = (a.slot, a.sent, a.begun);
+        let (class, heavy, refusals) = (request.class, request.heavy, request.attempts.len());
+        let now = self.now;
+        let pause = self.reset_interval as f64 * (0.75 + 0.5 * self.uniform());
+        let aim = self.settings.classes[class].aim as f64;
+        let silent = self.silent(&self.servers[slot]);
+        let s = &mut self.servers[slot];
+        s.in_flight = s.in_flight.saturating_sub(u32::from(!begun));
+        if s.in_flight == 0 {
+            // Danger: an attempt that was called off leaves no answer; a server with nothing out
+            // must not count as silent for ever.
+            s.silent_since = None;
+        }
+        if s.id != server {
+            return;
+        }
+        match outcome {
+            Outcome::Moot | Outcome::Cancelled => return,
+            Outcome::Served | Outcome::Error | Outcome::Full => {
+                s.silent_since = (s.in_flight > 0).then_some(now);
+                s.received = Some(now);
+                s.answered = s.answered.max(sent);
+            }
+            Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => {}
+        }
+        if outcome == Outcome::Served || outcome == Outcome::Error {
+            self.report(slot, report);
+        }
+        let s = &mut self.servers[slot];
+        match outcome {
+            Outcome::Served => {
+                s.failures = 0;
+                s.shunned_until = 0;
+                self.answer_time(slot, class, latency / heavy);
+            }
+            Outcome::Full => {
+                self.wipe(slot);
+                // Danger: what a full zone does serve looks quick.
+                self.spill(slot, FULL_LOAD);
+                // Danger: where queues are short, servers refuse long before answers are late.
+                // A refusal is news of the fleet only when the request found no place at all.
+                if refusals >= FULL_TRIES {
+                    self.feel(slot, class, aim);
+                }
+            }
+            // Danger: hurried clients, long queues and lost answers would have well servers left out,
+            // and their load pile up on the others. Only silence for longer than an aim is a failure;
+            // a server that answers some and never others is left to its answer times.
+            Outcome::TimedOut if !silent => {}
+            _ => self.failed(slot, outcome, sent, pause),
+        }
+    }
+
+    /// Outlier ejection: each failure in a row doubles the pause until the next single trial.
+    /// Danger: where networks reset connections now and then, a pause for each would leave too few
+    /// servers. A lone reset tells nothing.
+    /// Danger: a busy sidecar has many attempts out at one server, and what ends one ends them all.
+    /// Those that were out when it last failed are not a row of failures.
+    fn failed(&mut self, slot: Slot, outcome: Outcome, sent: Micros, pause: f64) {
+        let s = &mut self.servers[slot];
+        if s.failures > 0 && sent < s.failed_at {
+            return;
+        }
+        s.failed_at = self.now;
+        s.failures += 1;
+        if s.failures == 1 && outcome == Outcome::Reset {
+            return;
+        }
+        let doubled = f64::from(1u32 << (s.failures - 1).min(MAX_DOUBLINGS));
+        s.shunned_until = self.now + (pause * 0.25 * doubled) as Micros;
+        s.chips = 0;
+    }
+
+    fn wipe(&mut self, slot: Slot) {
+        let s = &mut self.servers[slot];
+        s.chips = 0;
+        s.received = Some(self.now);
+    }
+
+    fn answer_time(&mut self, slot: Slot, class: usize, latency: f64) {
+        let (few, slow_news) = (self.news(FEW), self.news(SLOW_NEWS));
+        let l = &mut self.learned[class];
+        if !l.seen {
+            (l.base, l.usual, l.seen) = (latency, latency, true);
+        }
+        // A low quantile by unequal steps: quick to fall, slow to rise.
+        let step = if latency < l.base { 0.5 } else { 0.02 };
+        l.base += step * (latency.min(2.0 * l.base) - l.base);
+        let relative = (latency / l.usual.max(1.0)).min(MOST_SLOW);
+        l.usual += few * (latency.min(4.0 * l.usual) - l.usual);
+        let s = &mut self.servers[slot];
+        s.slowness += slow_news * (relative - s.slowness);
+        let loaded = relative * (1.0 + s.load / s.power);
+        self.spill(slot, loaded);
+        if latency < self.settings.classes[class].aim as f64 {
+            // Danger: one heavy request looks like a long queue. What the report says of the
+            // answer time to be expected counts as much as the answer time itself.
+            let expected = match self.held_column {
+                Some(_) => {
+                    let held = 1.0 + self.servers[slot].load;
+                    self.answer_mean.0 += few * (latency - self.answer_mean.0);
+                    self.answer_mean.1 += few * (held - self.answer_mean.1);
+                    held * self.answer_mean.0 / self.answer_mean.1
+                }
+                None => latency,
+            };
+            self.feel(slot, class, 0.5 * (latency + expected));
+        }
+    }
+
+    /// Algorithm 1 here: mint from the reported queue, or wipe when it is past capacity.
+    fn report(&mut self, slot: Slot, report: &LoadReport) {
+        let value = |column: Option<usize>| {
+            let v = column.and_then(|i| report.0.get(i)).copied()?;
+            v.is_finite().then(|| f64::from(v.max(0.0)))
+        };
+        let (queue, load) = (value(self.queue_column), value(self.load_column));
+        let draws = (self.uniform(), self.uniform());
+        let (now, few) = (self.now, self.news(FEW));
+        if let Some(load) = load {
+            let s = &mut self.servers[slot];
+            (s.load, s.reported) = (load, now);
+            self.usual_load += few * (load / s.power - self.usual_load);
+        }
+        let s = &mut self.servers[slot];
+        let Some(queue) = queue else {
+            // No queue reported: an answer in itself is the sign that another may follow.
+            s.chips = (s.chips + 2).min(MAX_CHIPS);
+            return;
+        };
+        s.average.add(now, queue);
+        let share = match s.average.last {
+            Some(capacity) => {
+                let capacity = capacity.max(4.0);
+                if queue > capacity {
+                    return self.wipe(slot);
+                }
+                queue / (CAPACITY_SHARE * capacity)
+            }
+            None => 0.0,
+        };
+        // Danger: one chip spent and less than one minted on average would starve a server that
+        // is hardly loaded; a second draw against twice the queue lets its chips grow back.
+        let minted = u32::from(draws.0 >= share) + u32::from(draws.1 >= 2.0 * share);
+        s.chips = (s.chips + minted).min(MAX_CHIPS);
+    }
+
+    /// The weight of one more answer where a quiet sidecar gives it `quiet`.
+    pub(super) fn news(&self, quiet: f64) -> f64 {
+        quiet * (QUIET_RATE / self.rate.max(QUIET_RATE))
+    }
+}
--- /dev/null
+++ b/crates/coppercart/src/decide/mod.rs
@@ -0,0 +1,265 @@
+//! The decisions, all of them: which server a request goes to, when it is tried again, copied,
+//! refused or given up, and what a server's answers say about that server.
+//!
+//! The ordinary path is BLOC's chip mechanism (README.md): answers mint confidence chips, a send
+//! spends one, and of two random servers that qualify the less used one gets the request.
+//! Every send passes `send`, every refusal or failure passes `end`; the four rules hold there.
+
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use rustc_hash::FxHashMap;
+use smallvec::SmallVec;
+
+use crate::api::*;
+use crate::settings::*;
+use picking::Draws;
+use shedding::Lateness;
+
+mod learning;
+mod picking;
+mod requests;
+mod rules;
+mod servers;
+mod shedding;
+mod subsets;
+mod timers;
+
+/// Sends that a request refused as full may cost in all, if the settings allow as many.
+const FULL_TRIES: usize = 4;
+/// The weight of one more answer in a running mean: what a quiet sidecar hears in some seconds.
+const FEW: f64 = 0.15;
+/// The rate, in requests a second, up to which a sidecar is quiet in this sense. Means are to forget
+/// by time: at a busier one each answer weighs less, or they would follow every single answer.
+const QUIET_RATE: f64 = 20.0;
+/// Keys of so many last requests are remembered, to tell the hot ones.
+const KEYS_MET: usize = 64;
+/// The least draw weight of far servers: some are kept known, for when they are needed.
+const FAR_LEAST: f64 = 0.05;
+/// How much more load at home than away (a logarithm) a point of the crossing's price is worth:
+/// at a few points, home may be a fifth more loaded.
+const CROSSING_WORTH: f64 = 4.0;
+/// How far a point of the price lowers far servers' first chance of a draw, before loads are known.
+const CROSSING_SHY: f64 = 80.0;
+/// Answer times count as so many times the usual at most: one heavy request is no sick server.
+const MOST_SLOW: f64 = 4.0;
+/// The weight of one more answer time of a server: a quiet sidecar hears of one in seconds only.
+const SLOW_NEWS: f64 = 0.3;
+
+type Slot = usize;
+
+/// What a sidecar knows of one server.
+#[derive(Debug, Default)]
+struct Server {
+    id: ServerId,
+    zone: u8,
+    cell: u16,
+    health: Health,
+    power: f64,
+    started: Micros,
+    chips: u32,
+    in_flight: u32,
+    /// The paper's RcvTime: the last answer, or the last trial without a chip. None: no answer yet.
+    received: Option<Micros>,
+    /// When the latest of the attempts that it has answered was sent.
+    answered: Micros,
+    /// When the oldest send that nothing has been heard since went out.
+    silent_since: Option<Micros>,
+    failures: u32,
+    failed_at: Micros,
+    shunned_until: Micros,
+    /// The last report's load and when it came.
+    load: f64,
+    reported: Micros,
+    /// Answer times here, relative to the usual ones of their classes.
+    slowness: f64,
+    average: Average,
+    /// It is of this sidecar's subset.
+    kept: bool,
+}
+
+/// The average of reported queues over the paper's span.
+#[derive(Debug, Default)]
+struct Average {
+    since: Micros,
+    sum: f64,
+    count: f64,
+    last: Option<f64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    Out,
+    NeverRan,
+    MayHaveRun,
+}
+
+#[derive(Debug)]
+struct Attempt {
+    slot: Slot,
+    server: ServerId,
+    zone: u8,
+    cell: u16,
+    sent: Micros,
+    fate: Fate,
+    /// Its answer has begun to come.
+    begun: bool,
+}
+
+#[derive(Debug)]
+struct Request {
+    class: usize,
+    key: u64,
+    /// How heavy it was announced to be, beside the usual one of its class.
+    heavy: f64,
+    deadline: Micros,
+    /// It has its final answer; only outcomes of attempts still out are awaited.
+    ended: bool,
+    /// A stream has begun: its time no longer runs, and nothing else may be sent.
+    streaming: bool,
+    attempts: SmallVec<[Attempt; 2]>,
+}
+
+/// What is learned of a class.
+#[derive(Clone, Debug, Default)]
+struct Learned {
+    /// Answer time when nothing waits: a low quantile of those seen.
+    base: f64,
+    /// The usual answer time.
+    usual: f64,
+    seen: bool,
+    /// The usual hint of work.
+    hint: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Alarm {
+    Copy(RequestId),
+    Late(RequestId),
+    Overdue(RequestId),
+    Subscribe,
+}
+
+/// One sidecar's decisions. Same settings, seed and events: same actions.
+#[derive(Debug)]
+pub struct Balancer {
+    settings: Settings,
+    rng: Pcg64Mcg,
+    servers: Vec<Server>,
+    by_id: FxHashMap<ServerId, Slot>,
+    /// The servers that may be sent to, and this sidecar's own subset of them.
+    ready: Draws,
+    near: Draws,
+    /// Points of the servers on a ring, for keys that warm them.
+    ring: Vec<(u64, Slot)>,
+    met: [u64; KEYS_MET],
+    met_at: usize,
+    weighed: Micros,
+    ranked_at_rate: f64,
+    /// The draw weight of servers across a priced crossing, and the loads reported on either side.
+    far_share: f64,
+    far_first: f64,
+    far_least: f64,
+    side_load: [f64; 2],
+    /// Requests a second here, as a running mean.
+    rate: f64,
+    rate_at: Micros,
+    requests: FxHashMap<RequestId, Request>,
+    alarms: FxHashMap<u32, Alarm>,
+    next_token: u32,
+    learned: Vec<Learned>,
+    lateness: Lateness,
+    /// Running mean of reported loads, each over its server's power.
+    usual_load: f64,
+    retry_budget: f64,
+    subscribe_failures: u32,
+    queue_column: Option<usize>,
+    load_column: Option<usize>,
+    held_column: Option<usize>,
+    /// Running means of answer times and of what servers held besides.
+    answer_mean: (f64, f64),
+    longest_aim: f64,
+    reset_interval: Micros,
+    now: Micros,
+}
+
+impl Balancer {
+    pub fn new(settings: Settings, seed: u64, now: Micros) -> Balancer {
+        let longest = |f: fn(&Class) -> Micros| settings.classes.iter().map(f).max().unwrap_or(1);
+        let classes = settings.classes.len();
+        let far_first = 1.0 / (1.0 + CROSSING_SHY * settings.prices.cross_zone.max(0.0));
+        Balancer {
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            servers: Vec::new(),
+            by_id: FxHashMap::default(),
+            ready: Draws::default(),
+            near: Draws::default(),
+            ring: Vec::new(),
+            met: [0; KEYS_MET],
+            met_at: 0,
+            weighed: now,
+            ranked_at_rate: 0.0,
+            far_share: far_first,
+            far_first,
+            far_least: FAR_LEAST,
+            side_load: [1.0; 2],
+            rate: 0.0,
+            rate_at: now,
+            requests: FxHashMap::default(),
+            alarms: FxHashMap::default(),
+            next_token: 0,
+            learned: vec![Learned::default(); classes],
+            lateness: Lateness::default(),
+            usual_load: 0.0,
+            retry_budget: 1.0,
+            subscribe_failures: 0,
+            queue_column: settings.column("q"),
+            load_column: settings.column("rif").or(settings.column("q")),
+            held_column: settings.column("rif"),
+            answer_mean: (0.0, 1.0),
+            longest_aim: longest(|c| c.aim) as f64,
+            reset_interval: longest(|c| c.deadline),
+            now,
+            settings,
+        }
+    }
+
+    /// Takes one event and appends what to do about it.
+    pub fn handle(&mut self, now: Micros, event: Event<'_>, out: &mut Vec<Action>) {
+        self.now = now.max(self.now);
+        match event {
+            Event::Servers { kind, entries } => self.list(kind, entries, out),
+            Event::Request(new) => self.request(new, out),
+            Event::FirstByte { id, attempt } => self.first_byte(id, attempt, out),
+            Event::Answer { id, attempt, server, outcome, latency, finished, report } => {
+                self.heard(id, attempt, server, outcome, latency as f64, &report);
+                // Danger: a connection opened once for want of a better server stays until it is
+                // idle for long. It may cost, and thousands of them fill the servers' tables.
+                let idle = self.by_id.get(&server).map(|&slot| &self.servers[slot]);
+                if idle.is_some_and(|s| !s.kept && s.in_flight == 0) {
+                    out.push(Action::CloseIdle { server });
+                }
+                self.settle((id, attempt), (outcome, finished), out);
+            }
+            Event::ClientGone { id } => self.call_off(id, out),
+            Event::Timer { token } => self.timer(token, out),
+            Event::Probed { .. } | Event::Note { .. } => {}
+        }
+    }
+
+    /// How many requests have no end yet, or attempts whose outcome is awaited.
+    pub fn open(&self) -> usize {
+        self.requests.len()
+    }
+
+    fn uniform(&mut self) -> f64 {
+        (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
+/// Spreads the bits of a number (the finalizer of splitmix64).
+fn mix(x: u64) -> u64 {
+    let x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
--- /dev/null
+++ b/crates/coppercart/src/decide/rules.rs
@@ -0,0 +1,107 @@
+//! The four rules: every send passes `send`, every refusal or failure passes `end`.
+
+use super::*;
+
+impl Request {
+    pub(super) fn out(&self) -> usize {
+        self.attempts.iter().filter(|a| a.fate == Fate::Out).count()
+    }
+    pub(super) fn cancel(&self, id: RequestId, but: Option<usize>, out: &mut Vec<Action>) {
+        let of = |n: &usize| Some(*n) != but && self.attempts[*n].fate == Fate::Out;
+        let all = (0..self.attempts.len()).filter(of);
+        out.extend(all.map(|attempt| Action::Cancel { id, attempt }));
+    }
+    pub(super) fn untouched(&self) -> bool {
+        self.attempts.iter().all(|a| a.fate == Fate::NeverRan)
+    }
+}
+
+impl Balancer {
+    /// Rule 2: whether `s` may get (another) attempt of this request.
+    pub(super) fn allowed(&self, request: &Request, s: &Server) -> bool {
+        let class = &self.settings.classes[request.class];
+        let limits = &self.settings.limits;
+        if request.ended
+            || request.streaming
+            || self.now >= request.deadline
+            || request.attempts.len() >= limits.max_attempts
+            || (request.out() > 0 && !limits.may_duplicate)
+        {
+            return false;
+        }
+        match class.repeat {
+            Repeat::Safe => true,
+            Repeat::Unsafe => request.untouched(),
+            Repeat::Keyed => {
+                request.attempts.iter().filter(|a| a.fate != Fate::NeverRan).all(|a| {
+                    self.now - a.sent < class.window
+                        && match class.dedup_scope {
+                            Scope::All => true,
+                            Scope::Zone => a.zone == s.zone,
+                            Scope::Cell => a.cell == s.cell,
+                        }
+                })
+            }
+        }
+    }
+
+    /// Rule 2: whether the client may be told that trying again is harmless.
+    fn refusable(&self, request: &Request) -> bool {
+        let class = &self.settings.classes[request.class];
+        match class.repeat {
+            Repeat::Safe => true,
+            // Danger: a client's own retry of a keyed request may come when no server remembers it.
+            Repeat::Unsafe | Repeat::Keyed => request.untouched(),
+        }
+    }
+
+    /// The one gate of all sends.
+    pub(super) fn send(&mut self, id: RequestId, slot: Slot, out: &mut Vec<Action>) -> bool {
+        let Some(request) = self.requests.get(&id) else {
+            return false;
+        };
+        let s = &self.servers[slot];
+        if s.health != Health::Ready || !self.allowed(request, s) {
+            return false;
+        }
+        let now = self.now;
+        let left = request.deadline - now;
+        let s = &mut self.servers[slot];
+        if s.chips > 0 {
+            s.chips -= 1;
+        } else if s.received.is_some() {
+            s.received = Some(now);
+        }
+        s.in_flight += 1;
+        s.silent_since.get_or_insert(now);
+        let (server, zone, cell) = (s.id, s.zone, s.cell);
+        let attempt =
+            Attempt { slot, server, zone, cell, sent: now, fate: Fate::Out, begun: false };
+        out.push(Action::Send { id, server, timeout: left });
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.attempts.push(attempt);
+        }
+        true
+    }
+
+    /// The one gate of all refusals and failures.
+    pub(super) fn end(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&id).filter(|r| !r.ended) else { return };
+        out.push(match self.refusable(request) {
+            true => Action::Refuse { id, retry_after: self.retry_after() },
+            false => Action::Fail { id },
+        });
+        self.call_off(id, out);
+    }
+
+    /// A request's end: calls off what is still out and forgets it when nothing is.
+    pub(super) fn call_off(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.ended = true;
+        if request.out() == 0 {
+            self.requests.remove(&id);
+        } else if self.settings.limits.cancel && !request.streaming {
+            request.cancel(id, None, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coppercart/src/decide/servers.rs
@@ -0,0 +1,84 @@
+//! The list of servers, and what is known of each of them.
+
+use super::*;
+
+impl Server {
+    fn new(e: &ServerEntry) -> Server {
+        let (id, zone, cell, health, started) = (e.id, e.zone, e.cell, e.health, e.started);
+        Server { id, zone, cell, health, started, power: 1.0, slowness: 1.0, ..Server::default() }
+    }
+}
+
+impl Balancer {
+    pub(super) fn list(&mut self, kind: ListKind, entries: &[ServerEntry], out: &mut Vec<Action>) {
+        let asked = self.settings.discovery == Discovery::Asked;
+        match kind {
+            ListKind::Failed => {
+                // Danger: thousands of sidecars that lose discovery together would call it down
+                // again together. Each waits a random, growing time, well within `mustAskIn`.
+                if asked {
+                    let most = (self.settings.rules.must_ask_in.max(4) / 2) as f64;
+                    let wait = most / f64::from(4 >> self.subscribe_failures.min(2));
+                    self.subscribe_failures += 1;
+                    let wait = (wait * (0.25 + 0.75 * self.uniform())) as Micros;
+                    self.set_alarm(wait, Alarm::Subscribe, out);
+                }
+                return;
+            }
+            ListKind::Remembered if asked => {
+                let wait =
+                    (self.uniform() * self.settings.rules.must_ask_in as f64 / 2.0) as Micros;
+                self.set_alarm(wait, Alarm::Subscribe, out);
+            }
+            _ => self.subscribe_failures = 0,
+        }
+        if kind != ListKind::Changes {
+            let listed: rustc_hash::FxHashSet<ServerId> = entries.iter().map(|e| e.id).collect();
+            for s in &mut self.servers {
+                if !listed.contains(&s.id) {
+                    s.health = Health::Gone;
+                }
+            }
+        }
+        for e in entries {
+            self.list_entry(e);
+        }
+        self.choose_subset();
+    }
+
+    fn list_entry(&mut self, e: &ServerEntry) {
+        let power = if e.power.is_finite() && e.power > 0.0 { f64::from(e.power) } else { 1.0 };
+        let slot = match self.by_id.get(&e.id) {
+            Some(&slot) => slot,
+            None if e.health == Health::Gone => return,
+            None => {
+                let fresh = Server::new(e);
+                // A slot whose server is gone and owes no outcome is used again.
+                let free =
+                    self.servers.iter().position(|s| s.health == Health::Gone && s.in_flight == 0);
+                let slot = match free {
+                    Some(slot) => {
+                        self.by_id.remove(&self.servers[slot].id);
+                        self.servers[slot] = fresh;
+                        slot
+                    }
+                    None => {
+                        self.servers.push(fresh);
+                        self.servers.len() - 1
+                    }
+                };
+                self.by_id.insert(e.id, slot);
+                slot
+            }
+        };
+        let s = &mut self.servers[slot];
+        if e.started > s.started {
+            // A restart under the same id: what was known of the old process is void, and the
+            // new one is cold. Attempts still out keep their count.
+            let in_flight = s.in_flight;
+            *s = Server::new(e);
+            s.in_flight = in_flight;
+        }
+        (s.zone, s.cell, s.health, s.power) = (e.zone, e.cell, e.health, power);
+    }
+}
--- /dev/null
+++ b/crates/coppercart/src/decide/shedding.rs
@@ -0,0 +1,96 @@
+//! Load shedding: how late answers are, what is turned away then, and until when.
+
+use super::*;
+
+/// The lateness at which the class that earns most for its work begins to be shed, how much sooner
+/// one is that earns an e-th of it, the least lateness to shed at, and how much more sheds all.
+const SHED_LAST: f64 = 0.3;
+const SHED_SPREAD: f64 = 0.15;
+pub(super) const SHED_FROM: f64 = 0.06;
+const SHED_BAND: f64 = 0.1;
+/// Servers whose lateness is kept in view: enough that a third of them is no chance.
+const SIGHTS: usize = 16;
+/// Servers in time that are taken for granted beside those in view.
+const DOUBT: f64 = 1.5;
+/// A lateness that no answer renews fades over this many of the longest aims.
+const LATENESS_FADES: f64 = 4.0;
+
+/// How late each server's last answers were, and what this says of the fleet.
+#[derive(Debug, Default)]
+pub(super) struct Lateness {
+    sights: SmallVec<[(Slot, f64, Micros); SIGHTS]>,
+    level: f64,
+    since: Micros,
+}
+
+impl Lateness {
+    fn at(&self, now: Micros, fades: f64) -> f64 {
+        self.level * (-(now.saturating_sub(self.since) as f64) / fades).exp()
+    }
+
+    /// Danger: a few sick servers are no overload, and shedding for them refuses what the others
+    /// could serve. Each server counts once, and the latest third does not count.
+    fn feel(&mut self, now: Micros, memory: Micros, slot: Slot, late: f64) {
+        self.sights.retain(|&mut (_, _, t)| now - t < 3 * memory);
+        let known = self.sights.iter().position(|s| s.0 == slot);
+        let oldest = (0..self.sights.len()).min_by_key(|&i| self.sights[i].2);
+        match (known, oldest) {
+            (Some(i), _) => self.sights[i] = (slot, 0.5 * (self.sights[i].1 + late), now),
+            (None, Some(i)) if self.sights.len() == SIGHTS => self.sights[i] = (slot, late, now),
+            _ => self.sights.push((slot, late, now)),
+        }
+        let fresh = |s: &(Slot, f64, Micros)| (-((now - s.2) as f64) / memory as f64).exp();
+        let mut seen: SmallVec<[(f64, f64); SIGHTS]> =
+            self.sights.iter().map(|s| (s.1, fresh(s))).collect();
+        seen.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
+        seen.truncate(seen.len() - seen.len() / 3);
+        // Danger: at a quiet sidecar one late answer of two is no news of the fleet.
+        let weight: f64 = seen.iter().map(|s| s.1).sum::<f64>() + DOUBT;
+        self.level = seen.iter().map(|s| s.0 * s.1).sum::<f64>() / weight;
+        self.since = now;
+    }
+}
+
+impl Balancer {
+    /// How much a unit of a class's work is worth.
+    fn density(&self, class: usize) -> f64 {
+        let c = &self.settings.classes[class];
+        match self.settings.worth_by {
+            WorthBy::Work => c.credit,
+            WorthBy::Request => c.credit / self.learned[class].base.max(1.0),
+        }
+    }
+
+    /// Load shedding: the share of a class to refuse at once. Danger: in overload work that
+    /// earns little would make late what earns much. The less a class earns for its work beside the
+    /// best, the sooner it is shed. Among equals an early refusal frees nothing for a better one.
+    pub(super) fn shed_share(&self, class: usize) -> f64 {
+        let classes = 0..self.settings.classes.len();
+        let most = classes.map(|i| self.density(i)).fold(0.0, f64::max);
+        let below = (most / self.density(class).max(1e-9)).ln().max(0.0);
+        let start = (SHED_LAST - SHED_SPREAD * below).max(SHED_FROM);
+        ((self.lateness_now() - start) / SHED_BAND).clamp(0.0, 1.0)
+    }
+
+    pub(super) fn lateness_now(&self) -> f64 {
+        self.lateness.at(self.now, LATENESS_FADES * self.longest_aim)
+    }
+
+    /// Takes one more sight of how late answers are: 0 up to half of the aim, 1 at the aim.
+    pub(super) fn feel(&mut self, slot: Slot, class: usize, latency: f64) {
+        let aim = self.settings.classes[class].aim as f64;
+        let late = (2.0 * latency / aim - 1.0).clamp(0.0, 1.4);
+        self.lateness.feel(self.now, (LATENESS_FADES * self.longest_aim) as Micros, slot, late);
+    }
+
+    /// When a client that is refused should come back, where clients are told: when what was measured
+    /// of the fleet has faded. Danger: those refused together must not come back together.
+    pub(super) fn retry_after(&mut self) -> Micros {
+        let limits = &self.settings.limits;
+        if !limits.retry_after {
+            return 0;
+        }
+        let longest = (1.5 * LATENESS_FADES * self.longest_aim).min(limits.max_retry_after as f64);
+        (longest * (1.0 - 2.0 / 3.0 * self.uniform())) as Micros
+    }
+}
