Turn away heads and paths that two readers could tell differently

A request with two Idempotency-Key, X-Correlation-Id, X-Account or Host lines was served by the first of them: a server that reads the other one drops no repeat, and a quota is escaped. GET /look/../order/1 went on as class look, with a safe class's rights to be repeated. All of these are 400 now, also with dots and slashes as escapes, and so are two X-Time-Left-Ms, X-Repeat and X-Weight-Hint lines.

Heads and bodies of requests are read in modules of their own, for every form. The engine's budgets can be shared across threads and engines, a refusal says whether anything may have run, and the engine tells what it holds. Each case is a loopback test that failed before.

--- a/crates/coppercart/src/decide/timers.rs
+++ b/crates/coppercart/src/decide/timers.rs
@@ -34,13 +34,11 @@
                 }
             }
             Some(Alarm::Late(id)) => self.unanswered(id),
-            Some(Alarm::Overdue(id)) => {
-                if self.requests.get(&id).is_some_and(|r| !r.streaming) {
-                    self.end(id, out);
-                }
+            Some(Alarm::Overdue(id)) if self.requests.get(&id).is_some_and(|r| !r.streaming) => {
+                self.end(id, out);
             }
             Some(Alarm::Subscribe) => out.push(Action::Subscribe),
-            None => {}
+            Some(Alarm::Overdue(_)) | None => {}
         }
     }
 
--- a/crates/millethook-engine/src/budget.rs
+++ b/crates/millethook-engine/src/budget.rs
@@ -1,10 +1,12 @@
-//! What the sidecar may hold: sockets for clients and servers, and bytes of requests' bodies.
+//! What a process may hold: sockets for clients and servers, and bytes of requests' bodies.
+//!
+//! Several engines of one process may share a budget: all of it may be used from any thread.
 
-use std::cell::Cell;
-use std::rc::Rc;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::time::timeout;
 
 /// The longest body of a request, as the protocol has it.
 pub const LONGEST_BODY: usize = 64 << 10;
@@ -21,7 +23,7 @@
     /// How many of these there are.
     pub client_places: usize,
     /// Connections to servers.
-    pub servers: Arc<Semaphore>,
+    pub servers: Arc<ServerPlaces>,
 }
 
 /// A socket's place in the budget, given back when dropped.
@@ -35,8 +37,57 @@
         let shared = limit.saturating_sub(RESERVE);
         let clients = (shared * 4 / 9).clamp(4, MOST);
         let servers = (shared - clients.min(shared)).clamp(4, MOST);
-        let places = |n| Arc::new(Semaphore::new(n));
-        Sockets { clients: places(clients), client_places: clients, servers: places(servers) }
+        Sockets {
+            clients: Arc::new(Semaphore::new(clients)),
+            client_places: clients,
+            servers: ServerPlaces::new(servers),
+        }
+    }
+
+    /// For engines whose clients need no sockets: all places are for servers.
+    pub fn of_servers(servers: Arc<ServerPlaces>) -> Sockets {
+        Sockets { clients: Arc::new(Semaphore::new(0)), client_places: 0, servers }
+    }
+}
+
+/// The places for connections to servers, perhaps of several engines.
+pub struct ServerPlaces {
+    free: Arc<Semaphore>,
+    total: usize,
+    /// Told when an engine finds no place, and nothing of its own at rest to give up for one.
+    wanted: Notify,
+}
+
+impl ServerPlaces {
+    /// So many places.
+    pub fn new(total: usize) -> Arc<ServerPlaces> {
+        let free = Arc::new(Semaphore::new(total));
+        Arc::new(ServerPlaces { free, total, wanted: Notify::new() })
+    }
+
+    /// A place, if one is free.
+    pub fn try_take(&self) -> Option<Place> {
+        self.free.clone().try_acquire_owned().ok()
+    }
+
+    /// A place, if one becomes free within `wait`.
+    pub async fn take(&self, wait: Duration) -> Option<Place> {
+        timeout(wait, self.free.clone().acquire_owned()).await.ok()?.ok()
+    }
+
+    /// Asks the other engines that share these places to give up a connection at rest.
+    pub fn want(&self) {
+        self.wanted.notify_waiters();
+    }
+
+    /// Waits until another engine wants a place.
+    pub async fn wanted(&self) {
+        self.wanted.notified().await;
+    }
+
+    /// How many are taken.
+    pub fn taken(&self) -> usize {
+        self.total - self.free.available_permits()
     }
 }
 
@@ -45,55 +96,73 @@
 /// Danger: bodies that grow side by side until none may grow any more would wait for each other
 /// for ever. Room for one whole body is kept back for a single leader, which can always finish.
 pub struct Bytes {
-    shared: Cell<usize>,
-    leader: Cell<Option<u64>>,
-    next: Cell<u64>,
+    total: usize,
+    state: Mutex<State>,
     freed: Notify,
 }
 
+struct State {
+    free: usize,
+    leader: Option<u64>,
+    next: u64,
+}
+
 impl Bytes {
     /// A budget of `total` bytes, the leader's among them.
-    pub fn new(total: usize) -> Rc<Bytes> {
-        Rc::new(Bytes {
-            shared: Cell::new(total.saturating_sub(LONGEST_BODY).max(1 << 20)),
-            leader: Cell::new(None),
-            next: Cell::new(0),
-            freed: Notify::new(),
-        })
+    pub fn new(total: usize) -> Arc<Bytes> {
+        let free = total.saturating_sub(LONGEST_BODY).max(1 << 20);
+        let state = Mutex::new(State { free, leader: None, next: 0 });
+        Arc::new(Bytes { total: free, state, freed: Notify::new() })
+    }
+
+    /// Danger: a host's panic while an account grows must not keep all others from theirs; what the
+    /// lock guards is whole at each of its ends.
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// An account for one body, empty at first.
-    pub fn account(self: &Rc<Bytes>) -> Account {
-        self.next.set(self.next.get() + 1);
-        Account { of: Some(self.clone()), id: self.next.get(), shared: 0 }
+    pub fn account(self: &Arc<Bytes>) -> Account {
+        let mut state = self.state();
+        state.next += 1;
+        Account { id: state.next, shared: 0, of: Some(self.clone()) }
+    }
+
+    /// How many bytes are taken, a leader's beyond the shared ones aside.
+    pub fn taken(&self) -> usize {
+        self.total - self.state().free
     }
 }
 
 /// What one body has taken of the budget; given back when dropped.
 #[derive(Default)]
 pub struct Account {
-    of: Option<Rc<Bytes>>,
+    of: Option<Arc<Bytes>>,
     id: u64,
     shared: usize,
 }
 
 impl Account {
-    /// Takes `n` bytes more, waiting until they are to be had.
+    /// Takes `n` bytes more, waiting until they are to be had. Dropped while it waits, it has taken
+    /// none of them.
     pub async fn grow(&mut self, n: usize) {
         let Some(of) = &self.of else { return };
         loop {
             let freed = of.freed.notified();
-            if of.leader.get() == Some(self.id) {
-                return;
-            }
-            if of.shared.get() >= n {
-                of.shared.set(of.shared.get() - n);
-                self.shared += n;
-                return;
-            }
-            if of.leader.get().is_none() {
-                of.leader.set(Some(self.id));
-                return;
+            {
+                let mut state = of.state();
+                if state.leader == Some(self.id) {
+                    return;
+                }
+                if state.free >= n {
+                    state.free -= n;
+                    self.shared += n;
+                    return;
+                }
+                if state.leader.is_none() {
+                    state.leader = Some(self.id);
+                    return;
+                }
             }
             freed.await;
         }
@@ -103,9 +172,12 @@
 impl Drop for Account {
     fn drop(&mut self) {
         let Some(of) = &self.of else { return };
-        of.shared.set(of.shared.get() + self.shared);
-        if of.leader.get() == Some(self.id) {
-            of.leader.set(None);
+        {
+            let mut state = of.state();
+            state.free += self.shared;
+            if state.leader == Some(self.id) {
+                state.leader = None;
+            }
         }
         of.freed.notify_waiters();
     }
--- a/crates/millethook-engine/src/driver.rs
+++ b/crates/millethook-engine/src/driver.rs
@@ -7,6 +7,7 @@
 use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
@@ -42,8 +43,10 @@
     Refused {
         /// When to, if told.
         retry_after: Option<Duration>,
+        /// Some attempt may have run, which for its class does no harm.
+        may_have_run: bool,
     },
-    /// No promise.
+    /// No promise: it may have run.
     Failed,
 }
 
@@ -120,6 +123,8 @@
     attempts: Vec<Option<oneshot::Sender<()>>>,
     /// The attempt whose long answer is being passed on.
     streaming: Option<usize>,
+    /// An attempt that is over may have run.
+    touched: bool,
 }
 
 impl Pending {
@@ -127,6 +132,11 @@
         self.reply.is_none() && self.streaming.is_none()
     }
 
+    /// Whether some attempt has run or may yet, for all that is known.
+    fn may_have_run(&self) -> bool {
+        self.touched || self.attempts.iter().any(Option::is_some)
+    }
+
     fn forgettable(&self) -> bool {
         self.ended() && self.attempts.iter().all(Option::is_none)
     }
@@ -144,7 +154,7 @@
 pub struct Driver {
     core: RefCell<Core>,
     clock: (Micros, Instant),
-    names: Rc<Names>,
+    names: Arc<Names>,
     upstream: Rc<Upstream>,
     discovery: mpsc::UnboundedSender<Call>,
     peers: Option<Rc<dyn Tell>>,
@@ -152,6 +162,20 @@
     /// The module's timers, the next to run out first, and word of a new one.
     timers: RefCell<BinaryHeap<Reverse<(Instant, u32)>>>,
     sooner: Notify,
+    first_list: Notify,
+}
+
+/// What an engine has under way and holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Requests whose books are open: unanswered, or with attempts still out.
+    pub requests: usize,
+    /// Attempts that are out.
+    pub attempts: usize,
+    /// Requests that the decisions still know.
+    pub undecided: usize,
+    /// Connections to servers at rest.
+    pub resting: usize,
 }
 
 impl Driver {
@@ -159,7 +183,7 @@
     pub fn new(
         settings: Settings,
         seed: u64,
-        names: Rc<Names>,
+        names: Arc<Names>,
         upstream: Rc<Upstream>,
         discovery: mpsc::UnboundedSender<Call>,
         peers: Option<Rc<dyn Tell>>,
@@ -185,6 +209,7 @@
             probe_reports,
             timers: RefCell::default(),
             sooner: Notify::new(),
+            first_list: Notify::new(),
         });
         spawn_local(driver.clone().run_timers());
         driver
@@ -217,7 +242,9 @@
             }
             Action::Refuse { id, retry_after } => {
                 let retry_after = (retry_after > 0).then(|| Duration::from_micros(retry_after));
-                self.end(id, Reply::Refused { retry_after });
+                let may_have_run =
+                    self.core.borrow().requests.get(&id).is_some_and(Pending::may_have_run);
+                self.end(id, Reply::Refused { retry_after, may_have_run });
             }
             Action::Fail { id } => self.end(id, Reply::Failed),
             Action::Timer { delay, token } => {
@@ -286,6 +313,7 @@
                 spec: Some(Rc::new(spec)),
                 attempts: Vec::new(),
                 streaming: None,
+                touched: false,
             };
             core.requests.insert(id, pending);
             id
@@ -350,6 +378,9 @@
                 }
             }
             core.listed |= !list.hosts.is_empty();
+            if core.listed {
+                self.first_list.notify_waiters();
+            }
         }
         let entries: Vec<_> = list.hosts.iter().map(|h| self.names.entry(h)).collect();
         self.event(Event::Servers { kind, entries: &entries });
@@ -360,6 +391,26 @@
         self.core.borrow().listed
     }
 
+    /// Waits until some server was listed.
+    pub async fn first_listed(&self) {
+        let told = self.first_list.notified();
+        if !self.listed() {
+            told.await;
+        }
+    }
+
+    /// What is under way and held here.
+    pub fn usage(&self) -> Usage {
+        let core = self.core.borrow();
+        let out = |r: &Pending| r.attempts.iter().filter(|a| a.is_some()).count();
+        Usage {
+            requests: core.requests.len(),
+            attempts: core.requests.values().map(out).sum(),
+            undecided: core.balancer.open(),
+            resting: self.upstream.resting(),
+        }
+    }
+
     // ---- Attempts ----
 
     fn send(self: &Rc<Driver>, id: RequestId, server: ServerId, wait: Micros) {
@@ -479,6 +530,7 @@
             if let Some(out) = request.attempts.get_mut(attempt) {
                 *out = None;
             }
+            request.touched |= !outcome.never_ran();
             if request.streaming == Some(attempt) {
                 request.streaming = None;
             }
--- a/crates/millethook-engine/src/engine.rs
+++ b/crates/millethook-engine/src/engine.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use coppercart::api::ListKind;
@@ -24,13 +25,11 @@
     /// The module's settings.
     pub settings: Settings,
     /// The names that stand on sockets for the module's numbers.
-    pub names: Names,
+    pub names: Arc<Names>,
     /// For random numbers.
     pub seed: u64,
-    /// The sockets that it may hold.
-    pub sockets: Rc<Sockets>,
-    /// Where discovery is.
-    pub discovery: SocketAddr,
+    /// Where discovery is; None: `known` is the list, and stays so.
+    pub discovery: Option<SocketAddr>,
     /// The list of servers as it was last had.
     pub known: Option<List>,
     /// The other sidecars, where there is a way to them.
@@ -52,13 +51,13 @@
     /// Takes requests.
     pub driver: Rc<Driver>,
     /// The names that stand on sockets for the module's numbers.
-    pub names: Rc<Names>,
+    pub names: Arc<Names>,
     /// The sockets that it may hold.
     pub sockets: Rc<Sockets>,
     /// The longest deadline of a class.
     pub longest_deadline: Duration,
     tried: Rc<Notify>,
-    discovery: watch::Sender<SocketAddr>,
+    discovery: Option<watch::Sender<SocketAddr>>,
     peers: Option<Rc<Peers>>,
 }
 
@@ -67,7 +66,7 @@
     ///
     /// # Errors
     /// Names the address that datagrams were to arrive at, if it could not be had.
-    pub async fn start(config: EngineConfig) -> Result<Engine, String> {
+    pub async fn start(config: EngineConfig, sockets: Rc<Sockets>) -> Result<Engine, String> {
         let peers = match config.peers {
             Some(PeerConfig { listen, peers, all }) => {
                 let socket = UdpSocket::bind(listen).await;
@@ -76,10 +75,10 @@
             }
             None => None,
         };
-        let names = Rc::new(config.names);
+        let names = config.names;
         let limits = &config.settings.limits;
         let upstream = Upstream::new(
-            config.sockets.clone(),
+            sockets.clone(),
             names.clone(),
             Duration::from_micros(limits.connect_timeout),
             Duration::from_micros(limits.conn_idle),
@@ -99,16 +98,26 @@
         );
         let version = config.known.as_ref().map_or(0, |known| known.seq);
         if let Some(known) = &config.known {
-            driver.servers(ListKind::Remembered, known);
+            let remembered = config.discovery.is_some();
+            let kind = if remembered { ListKind::Remembered } else { ListKind::Whole };
+            driver.servers(kind, known);
         }
         let tried = Rc::new(Notify::new());
-        let (discovery, moves) = watch::channel(config.discovery);
-        let watching = Discovery::new(moves, how, version, tried.clone());
-        spawn_local(watching.run(driver.clone(), calls));
+        let discovery = match config.discovery {
+            Some(at) => {
+                let (discovery, moves) = watch::channel(at);
+                let watching = Discovery::new(moves, how, version, tried.clone());
+                spawn_local(watching.run(driver.clone(), calls));
+                Some(discovery)
+            }
+            None => {
+                tried.notify_one();
+                None
+            }
+        };
         if let Some(peers) = peers.clone() {
             spawn_local(peers.listen(driver.clone()));
         }
-        let sockets = config.sockets;
         Ok(Engine { driver, names, sockets, longest_deadline, tried, discovery, peers })
     }
 
@@ -123,6 +132,8 @@
         if let Some(known) = &self.peers {
             known.moved(peers, all);
         }
-        self.discovery.send_if_modified(|at| std::mem::replace(at, discovery) != discovery);
+        if let Some(to) = &self.discovery {
+            to.send_if_modified(|at| std::mem::replace(at, discovery) != discovery);
+        }
     }
 }
--- a/crates/millethook-engine/src/upstream.rs
+++ b/crates/millethook-engine/src/upstream.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 
@@ -48,6 +49,8 @@
 const PLACE_WAIT: Duration = Duration::from_millis(50);
 /// How long a connection may take to be ready for the next request after an answer.
 const SETTLE: Duration = Duration::from_millis(50);
+/// Between two looks at the connections at rest.
+const SWEEP: Duration = Duration::from_millis(500);
 /// How long the rest of an answer that nobody wants may take before its connection is closed.
 const DISCARD: Duration = Duration::from_millis(500);
 
@@ -319,7 +322,7 @@
 pub struct Upstream {
     idle: RefCell<HashMap<ServerId, Vec<Connection>>>,
     sockets: Rc<Sockets>,
-    names: Rc<Names>,
+    names: Arc<Names>,
     connect_timeout: Duration,
     retire: Duration,
 }
@@ -328,7 +331,7 @@
     /// `conn_idle` is how long servers say that they keep a connection at rest.
     pub fn new(
         sockets: Rc<Sockets>,
-        names: Rc<Names>,
+        names: Arc<Names>,
         connect_timeout: Duration,
         conn_idle: Duration,
     ) -> Rc<Upstream> {
@@ -346,8 +349,15 @@
     }
 
     async fn sweep(self: Rc<Upstream>) {
+        let mut next = Instant::now() + SWEEP;
         loop {
-            tokio::time::sleep(Duration::from_millis(500)).await;
+            tokio::select! {
+                () = self.sockets.servers.wanted() => {
+                    self.give_up_one();
+                    continue;
+                }
+                () = tokio::time::sleep_until(next.into()) => next = Instant::now() + SWEEP,
+            }
             self.idle.borrow_mut().retain(|_, list| {
                 list.retain(|c| c.rested.elapsed() < self.retire && !c.sender.is_closed());
                 !list.is_empty()
@@ -360,6 +370,11 @@
         self.idle.borrow_mut().remove(&server);
     }
 
+    /// How many connections are at rest.
+    pub fn resting(&self) -> usize {
+        self.idle.borrow().values().map(Vec::len).sum()
+    }
+
     /// Keeps a connection for the next attempt.
     fn rest(&self, server: ServerId, mut connection: Connection) {
         connection.rested = Instant::now();
@@ -388,17 +403,21 @@
     /// A place for one more socket. A connection at rest makes room when there is none left.
     /// Danger: a request that waits here for long may be answered nowhere else.
     async fn place(&self) -> Option<Place> {
-        if let Ok(place) = self.sockets.servers.clone().try_acquire_owned() {
+        if let Some(place) = self.sockets.servers.try_take() {
             return Some(place);
         }
-        {
-            let mut idle = self.idle.borrow_mut();
-            let oldest = idle.iter().filter_map(|(&id, l)| Some((l.first()?.rested, id))).min();
-            if let Some(list) = oldest.and_then(|(_, id)| idle.get_mut(&id)) {
-                list.remove(0);
-            }
+        if !self.give_up_one() {
+            self.sockets.servers.want();
         }
-        timeout(PLACE_WAIT, self.sockets.servers.clone().acquire_owned()).await.ok()?.ok()
+        self.sockets.servers.take(PLACE_WAIT).await
+    }
+
+    /// Closes the connection that has rested the longest, if there is one.
+    fn give_up_one(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let oldest = idle.iter().filter_map(|(&id, l)| Some((l.first()?.rested, id))).min();
+        let list = oldest.and_then(|(_, id)| idle.get_mut(&id));
+        list.map(|list| list.remove(0)).is_some()
     }
 
     /// A new connection; why there is none tells `Err`.
--- /dev/null
+++ b/crates/millethook-http/src/head.rs
@@ -0,0 +1,291 @@
+//! What a request's head asks for. Every form reads heads here, so that all of them take the same
+//! requests for the same.
+//!
+//! Identity is single: a head that names its class, its tenant, its id or its key in two ways could
+//! be one request to the balancer and another one to a server, and is turned away.
+
+use std::fmt;
+use std::time::Duration;
+
+use coppercart::api::Micros;
+use coppercart::settings::Repeat;
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::{Method, StatusCode, Uri};
+use millethook_engine::driver::Asked;
+use millethook_engine::names::{Names, stable_hash};
+
+/// Headers that may stand in a head once at most.
+const SINGLE: [&str; 7] = [
+    "host",
+    "x-correlation-id",
+    "x-account",
+    "idempotency-key",
+    "x-time-left-ms",
+    "x-repeat",
+    "x-weight-hint",
+];
+
+/// Why a request cannot be taken. It went nowhere.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum Invalid {
+    /// The path can be read in more than one way, or does not begin with a class.
+    Path,
+    /// No class of this name in the settings.
+    UnknownClass(String),
+    /// The class calls for another method: `GET` where it is safe to repeat, else `POST`.
+    Method {
+        /// The method that it calls for.
+        expected: Method,
+    },
+    /// The header stands in the head more than once.
+    Doubled(&'static str),
+    /// The header (or its typed twin) is missing.
+    Missing(&'static str),
+    /// The header holds what makes no sense there.
+    Header(&'static str),
+    /// The header and its typed twin, or two levels of the request, say different things.
+    Disagree(&'static str),
+    /// The tenant is not one of the settings.
+    UnknownTenant(String),
+    /// An idempotency key for a class that has none, or none for one that needs it.
+    Key {
+        /// Whether the class needs one.
+        needed: bool,
+    },
+    /// The id belongs to a request that is open, or was so a moment ago.
+    IdInUse,
+}
+
+impl Invalid {
+    /// The status that tells a client so.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Invalid::UnknownClass(_) => StatusCode::NOT_FOUND,
+            Invalid::Method { .. } => StatusCode::METHOD_NOT_ALLOWED,
+            Invalid::IdInUse => StatusCode::CONFLICT,
+            _ => StatusCode::BAD_REQUEST,
+        }
+    }
+}
+
+impl fmt::Display for Invalid {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Invalid::Path => {
+                f.write_str("path: one that begins with a class and has no dot segments expected")
+            }
+            Invalid::UnknownClass(class) => write!(f, "class: {class:?} is not in the settings"),
+            Invalid::Method { expected } => write!(f, "method: {expected} expected for this class"),
+            Invalid::Doubled(name) => write!(f, "{name}: given twice, once expected"),
+            Invalid::Missing(name) => write!(f, "{name}: missing"),
+            Invalid::Header(name) => write!(f, "{name}: its value makes no sense"),
+            Invalid::Disagree(name) => write!(f, "{name}: given twice, and differently"),
+            Invalid::UnknownTenant(name) => write!(f, "tenant: {name:?} is not in the settings"),
+            Invalid::Key { needed: true } => f.write_str("idempotency-key: missing for this class"),
+            Invalid::Key { needed: false } => {
+                f.write_str("idempotency-key: none expected for this class")
+            }
+            Invalid::IdInUse => f.write_str("x-correlation-id: that of a request that is open"),
+        }
+    }
+}
+
+impl std::error::Error for Invalid {}
+
+/// What may be known of a request beside its head; it goes before what the head says.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Beside<'a> {
+    /// The class, where it is not the path's first part.
+    pub class: Option<&'a str>,
+    /// How long the client will wait.
+    pub left: Option<Duration>,
+    /// What the request is about.
+    pub key: Option<u64>,
+}
+
+/// What a head asks for, and the request's id.
+///
+/// # Errors
+/// Heads that say too little, the wrong thing, or two things.
+pub fn asked<'h>(
+    names: &Names,
+    method: &Method,
+    uri: &Uri,
+    headers: &'h HeaderMap,
+    beside: Beside<'_>,
+) -> Result<(Asked, &'h str), Invalid> {
+    let doubled = |name: &&str| headers.get_all(*name).iter().nth(1).is_some();
+    if let Some(name) = SINGLE.into_iter().find(|name| doubled(name)) {
+        return Err(Invalid::Doubled(name));
+    }
+    let text = |name: &'static str| match headers.get(name).map(HeaderValue::to_str) {
+        None => Ok(None),
+        Some(Ok(value)) => Ok(Some(value.trim())),
+        Some(Err(_)) => Err(Invalid::Header(name)),
+    };
+    let class = one_class(uri.path())?;
+    let class = beside.class.unwrap_or(class);
+    let class = names.classes.get(class).ok_or_else(|| Invalid::UnknownClass(class.to_owned()))?;
+    let keyed = text("idempotency-key")?.is_some();
+    let expected = if class.repeat == Repeat::Safe { Method::GET } else { Method::POST };
+    if *method != expected {
+        return Err(Invalid::Method { expected });
+    }
+    if class.repeat != Repeat::Safe && keyed != (class.repeat == Repeat::Keyed) {
+        return Err(Invalid::Key { needed: class.repeat == Repeat::Keyed });
+    }
+    let id = text("x-correlation-id")?.filter(|id| !id.is_empty());
+    let id = id.ok_or(Invalid::Missing("x-correlation-id"))?;
+    let tenant = match text("x-account")? {
+        _ if names.tenants.is_empty() => 0,
+        None => return Err(Invalid::Missing("x-account")),
+        Some(name) => {
+            let known = names.tenants.get(name).copied();
+            known.ok_or_else(|| Invalid::UnknownTenant(name.to_owned()))?
+        }
+    };
+    let left = match (beside.left, text("x-time-left-ms")?) {
+        (Some(left), _) => left,
+        (None, None) => return Err(Invalid::Missing("x-time-left-ms")),
+        (None, Some(value)) => {
+            let millis = value.parse::<u32>().map_err(|_| Invalid::Header("x-time-left-ms"))?;
+            Duration::from_millis(millis.into())
+        }
+    };
+    let cookies = headers.get_all(header::COOKIE);
+    let asked = Asked {
+        class: class.index,
+        repeatable: class.repeat != Repeat::Unsafe,
+        streaming: class.streaming,
+        tenant,
+        key: beside.key.or_else(|| cookies.iter().find_map(key)).unwrap_or(0),
+        // Danger: what a client claims to wait keeps its request, with all that belongs to it,
+        // here for as long, and a planned end waits for the longest deadline only.
+        left: left.min(class.deadline),
+        hint: text("x-weight-hint")?.and_then(|v| v.parse::<Micros>().ok()),
+        repeat: text("x-repeat")? == Some("1"),
+    };
+    Ok((asked, id))
+}
+
+/// The first part of a path that can be read in one way only.
+///
+/// Danger: what one reader takes as it stands (`/look/../order/1`: class `look`), the next resolves
+/// first (`/order/1`), also where dots or slashes are written as escapes or as backslashes.
+fn one_class(path: &str) -> Result<&str, Invalid> {
+    let rest = path.strip_prefix('/').ok_or(Invalid::Path)?;
+    let class = rest.split('/').next().filter(|class| !class.is_empty() || rest.is_empty());
+    let class = class.ok_or(Invalid::Path)?;
+    let plain = |c: u8| matches!(c, b'/' | b'\\');
+    let mut bytes = rest.bytes();
+    // Length of the present part, as far as it holds nothing but dots.
+    let mut dots = Some(0);
+    loop {
+        let byte = bytes.next();
+        let byte = match byte {
+            Some(b'%') => {
+                let escape = [bytes.next(), bytes.next()];
+                match escape {
+                    [Some(b'2'), Some(b'e' | b'E')] => Some(b'.'),
+                    [Some(b'2'), Some(b'f' | b'F')] => Some(b'/'),
+                    [Some(b'5'), Some(b'c' | b'C')] => Some(b'\\'),
+                    [Some(a), Some(b)] if a.is_ascii_hexdigit() && b.is_ascii_hexdigit() => {
+                        Some(b'x')
+                    }
+                    _ => return Err(Invalid::Path),
+                }
+            }
+            byte => byte,
+        };
+        match byte {
+            Some(b'.') => dots = dots.map(|n| n + 1),
+            Some(c) if !plain(c) => dots = None,
+            end => {
+                if matches!(dots, Some(1 | 2)) {
+                    return Err(Invalid::Path);
+                }
+                if end.is_none() {
+                    return Ok(class);
+                }
+                dots = Some(0);
+            }
+        }
+    }
+}
+
+/// What the cookie `k` names.
+fn key(cookies: &HeaderValue) -> Option<u64> {
+    let pairs = cookies.to_str().ok()?.split(';').filter_map(|pair| pair.split_once('='));
+    let value = pairs.filter(|(name, _)| name.trim() == "k").map(|(_, v)| v.trim()).next()?;
+    Some(u64::from_str_radix(value, 16).unwrap_or_else(|_| stable_hash(value.as_bytes())))
+}
+
+/// The headers of a message that go beyond this hop.
+pub fn passed_on(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    let this_hop = |name: &HeaderName| {
+        matches!(
+            name.as_str(),
+            "connection"
+                | "content-length"
+                | "expect"
+                | "keep-alive"
+                | "proxy-authenticate"
+                | "proxy-authorization"
+                | "proxy-connection"
+                | "te"
+                | "trailer"
+                | "transfer-encoding"
+                | "upgrade"
+                | "x-backend-load"
+                | "x-unprocessed"
+        ) || named.contains(name)
+    };
+    let kept = headers.iter().filter(|(name, _)| !this_hop(name));
+    kept.map(|(name, value)| (name.clone(), value.clone())).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_path_with_two_readings_has_no_class() {
+        for path in [
+            "/look/../order/1",
+            "/look/./1",
+            "/look/..",
+            "/../order",
+            "/./order",
+            "/look/%2e%2E/order/1",
+            "/look/.%2e/order/1",
+            "/look/..%2forder/1",
+            "/look%2f..%2forder",
+            "/look/..%5Corder",
+            "/look\\..\\order",
+            "//order/1",
+            "",
+            "*",
+            "/look/%2",
+            "/look/%zz",
+        ] {
+            assert_eq!(one_class(path), Err(Invalid::Path), "{path}");
+        }
+    }
+
+    #[test]
+    fn dots_within_a_part_are_plain() {
+        for path in ["/look", "/look/", "/look/a..b/...", "/look/.well-known", "/look/1.2%20x//y"] {
+            assert_eq!(one_class(path), Ok("look"), "{path}");
+        }
+        assert_eq!(one_class("/v1.2/x"), Ok("v1.2"));
+        assert_eq!(one_class("/"), Ok(""));
+    }
+}
--- a/crates/millethook-http/src/ingress.rs
+++ b/crates/millethook-http/src/ingress.rs
@@ -6,36 +6,35 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
-use coppercart::api::Micros;
-use coppercart::settings::Repeat;
-use http_body_util::{BodyExt, Either, Full};
+use bytes::Bytes;
+use http_body_util::{Either, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use millethook_engine::budget::{self, Account, LONGEST_BODY, Place, Sockets};
-use millethook_engine::driver::{Asked, Driver, LongReply, Reply};
-use millethook_engine::names::{Names, stable_hash};
+use millethook_engine::budget::{self, Place, Sockets};
+use millethook_engine::driver::{Driver, Reply};
+use millethook_engine::names::Names;
 use millethook_engine::stream::{self, Observer, Stream};
 use millethook_engine::upstream::Spec;
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
+use crate::body::{Gone, Pieces, ReadError, read};
 use crate::guard::{HeadScan, OpenIds};
+use crate::head::{Beside, asked, passed_on};
 
 /// The most that hyper reads ahead, and so the longest head. Danger: each of a crowd of clients may
 /// fill as much.
 const READ_AHEAD: usize = 32 << 10;
-/// Bodies are kept in pieces of this size.
-const PIECE: usize = 64 << 10;
 /// How long a client may take from a request's first byte to its last, however it spreads them.
 /// Guards against heads and bodies that never end, lengths that are too great, and clients that send
 /// a byte now and then to stay. Danger: a client on a machine that stands still for so long loses
@@ -192,9 +191,9 @@
 /// The side of the sidecar that clients see.
 pub struct Ingress {
     driver: Rc<Driver>,
-    names: Rc<Names>,
+    names: Arc<Names>,
     sockets: Rc<Sockets>,
-    bytes: Rc<budget::Bytes>,
+    bytes: Arc<budget::Bytes>,
     ids: Rc<OpenIds>,
     clients: RefCell<HashMap<u64, Rc<Client>>>,
     accepted: Cell<(u64, Instant)>,
@@ -206,9 +205,9 @@
     /// An ingress without clients.
     pub fn new(
         driver: Rc<Driver>,
-        names: Rc<Names>,
+        names: Arc<Names>,
         sockets: Rc<Sockets>,
-        bytes: Rc<budget::Bytes>,
+        bytes: Arc<budget::Bytes>,
         ids: Rc<OpenIds>,
     ) -> Rc<Ingress> {
         Rc::new(Ingress {
@@ -401,17 +400,19 @@
         if !client.head.borrow().one_framing(chunked) {
             return Ok(Err(StatusCode::BAD_REQUEST));
         }
-        let (asked, id) = match self.asked(&head) {
+        let (method, uri, headers) = (&head.method, &head.uri, &head.headers);
+        let (asked, id) = match asked(&self.names, method, uri, headers, Beside::default()) {
             Ok(asked) => asked,
-            Err(status) => return Ok(Err(status)),
+            Err(invalid) => return Ok(Err(invalid.status())),
         };
         let Some(claim) = self.ids.claim(id.as_bytes()) else {
             return Ok(Err(StatusCode::CONFLICT));
         };
         let mut account = self.bytes.account();
-        let body = match read(body, &mut account).await? {
-            Some(body) => body,
-            None => return Ok(Err(StatusCode::PAYLOAD_TOO_LARGE)),
+        let body = match read(body, &mut account).await {
+            Ok(body) => body,
+            Err(ReadError::TooLong) => return Ok(Err(StatusCode::PAYLOAD_TOO_LARGE)),
+            Err(ReadError::Broken(_)) => return Err(Gone),
         };
         client.enter(Phase::Taken);
         claim.keep();
@@ -424,122 +425,6 @@
         let mut ticket = self.driver.request(asked, spec);
         Ok(Ok(ticket.reply().await))
     }
-
-    /// What a request's head asks for; refused are heads that say too little or the wrong thing.
-    fn asked<'h>(
-        &self,
-        head: &'h hyper::http::request::Parts,
-    ) -> Result<(Asked, &'h str), StatusCode> {
-        let text = |name: &str| head.headers.get(name).map(|v| v.to_str().map(str::trim));
-        let text = |name: &str| text(name).transpose().map_err(|_| StatusCode::BAD_REQUEST);
-        let class = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
-        let class = self.names.classes.get(class).ok_or(StatusCode::NOT_FOUND)?;
-        let keyed = text("idempotency-key")?.is_some();
-        match (class.repeat, &head.method) {
-            (Repeat::Safe, &Method::GET) | (Repeat::Keyed | Repeat::Unsafe, &Method::POST) => {}
-            _ => return Err(StatusCode::METHOD_NOT_ALLOWED),
-        }
-        if class.repeat != Repeat::Safe && keyed != (class.repeat == Repeat::Keyed) {
-            return Err(StatusCode::BAD_REQUEST);
-        }
-        let id = text("x-correlation-id")?.filter(|id| !id.is_empty());
-        let id = id.ok_or(StatusCode::BAD_REQUEST)?;
-        let tenant = match text("x-account")? {
-            _ if self.names.tenants.is_empty() => 0,
-            name => *name
-                .and_then(|name| self.names.tenants.get(name))
-                .ok_or(StatusCode::BAD_REQUEST)?,
-        };
-        let left = text("x-time-left-ms")?.and_then(|v| v.parse::<u32>().ok());
-        let left = left.ok_or(StatusCode::BAD_REQUEST)?;
-        let asked = Asked {
-            class: class.index,
-            repeatable: class.repeat != Repeat::Unsafe,
-            streaming: class.streaming,
-            tenant,
-            key: head.headers.get_all(header::COOKIE).iter().find_map(key).unwrap_or(0),
-            // Danger: what a client claims to wait keeps its request, with all that belongs to it,
-            // here for as long, and a planned end waits for the longest deadline only.
-            left: Duration::from_millis(left.into()).min(class.deadline),
-            hint: text("x-weight-hint")?.and_then(|v| v.parse::<Micros>().ok()),
-            repeat: text("x-repeat")? == Some("1"),
-        };
-        Ok((asked, id))
-    }
-}
-
-/// What the cookie `k` names.
-fn key(cookies: &HeaderValue) -> Option<u64> {
-    let pairs = cookies.to_str().ok()?.split(';').filter_map(|pair| pair.split_once('='));
-    let value = pairs.filter(|(name, _)| name.trim() == "k").map(|(_, v)| v.trim()).next()?;
-    Some(u64::from_str_radix(value, 16).unwrap_or_else(|_| stable_hash(value.as_bytes())))
-}
-
-/// The headers of a message that go beyond this hop.
-fn passed_on(headers: &HeaderMap) -> HeaderMap {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    let this_hop = |name: &HeaderName| {
-        matches!(
-            name.as_str(),
-            "connection"
-                | "content-length"
-                | "expect"
-                | "keep-alive"
-                | "proxy-authenticate"
-                | "proxy-authorization"
-                | "proxy-connection"
-                | "te"
-                | "trailer"
-                | "transfer-encoding"
-                | "upgrade"
-                | "x-backend-load"
-                | "x-unprocessed"
-        ) || named.contains(name)
-    };
-    let kept = headers.iter().filter(|(name, _)| !this_hop(name));
-    kept.map(|(name, value)| (name.clone(), value.clone())).collect()
-}
-
-/// Reads a body whole. None: it is too long.
-/// Danger: room is taken before bytes are here; else the budget would be overdrawn by all who send
-/// at once. What is not yet read waits in the client.
-async fn read(mut body: Incoming, account: &mut Account) -> Result<Option<Vec<Bytes>>, Gone> {
-    let mut pieces = Vec::new();
-    let mut piece = BytesMut::new();
-    let mut left = LONGEST_BODY;
-    // What is announced as too long need not be waited for.
-    if body.size_hint().lower() > left as u64 {
-        return Ok(None);
-    }
-    if body.is_end_stream() {
-        return Ok(Some(pieces));
-    }
-    account.grow(PIECE).await;
-    while let Some(frame) = body.frame().await {
-        let Ok(mut data) = frame.map_err(|_| Gone)?.into_data() else { continue };
-        let Some(rest) = left.checked_sub(data.len()) else { return Ok(None) };
-        left = rest;
-        while !data.is_empty() {
-            // Danger: bodies that come byte by byte would cost many times their size if each
-            // byte were kept as it came.
-            let n = data.len().min(PIECE - piece.len());
-            piece.extend_from_slice(&data.split_to(n));
-            if piece.len() == PIECE {
-                pieces.push(std::mem::take(&mut piece).freeze());
-                account.grow(PIECE).await;
-            }
-        }
-    }
-    if !piece.is_empty() {
-        pieces.push(piece.freeze());
-    }
-    Ok(Some(pieces))
 }
 
 async fn told_to_leave(client: &Client) {
@@ -589,18 +474,6 @@
     let _ = timeout(LINGER, drained).await;
 }
 
-/// The client has gone, or cannot be told anything more.
-#[derive(Debug)]
-struct Gone;
-
-impl std::fmt::Display for Gone {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("the connection is of no more use")
-    }
-}
-
-impl std::error::Error for Gone {}
-
 fn plain(status: StatusCode) -> Response<Either<Full<Bytes>, Pieces>> {
     let mut response = Response::new(Either::Left(Full::default()));
     *response.status_mut() = status;
@@ -614,12 +487,13 @@
             *response.headers_mut() = passed_on(&head);
             response
         }
-        Reply::Long(LongReply { head, length, pieces }) => {
-            let mut response = Response::new(Either::Right(Pieces { pieces, left: length }));
+        Reply::Long(mut long) => {
+            let head = std::mem::take(&mut long.head);
+            let mut response = Response::new(Either::Right(Pieces::from(long)));
             *response.headers_mut() = passed_on(&head);
             response
         }
-        Reply::Refused { retry_after } => {
+        Reply::Refused { retry_after, .. } => {
             let mut response = plain(StatusCode::SERVICE_UNAVAILABLE);
             let seconds = retry_after.map(|t| format!("{:.3}", t.as_secs_f64()));
             if let Some(Ok(seconds)) = seconds.map(HeaderValue::try_from) {
@@ -631,36 +505,6 @@
     }
 }
 
-/// A long answer's body.
-struct Pieces {
-    pieces: mpsc::Receiver<Option<Bytes>>,
-    left: Option<u64>,
-}
-
-impl Body for Pieces {
-    type Data = Bytes;
-    type Error = Gone;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Gone>>> {
-        self.pieces.poll_recv(cx).map(|piece| match piece {
-            Some(Some(piece)) => {
-                self.left = self.left.map(|l| l.saturating_sub(piece.len() as u64));
-                Some(Ok(Frame::data(piece)))
-            }
-            Some(None) => None,
-            // It broke off.
-            None => Some(Err(Gone)),
-        })
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.left.map_or_else(SizeHint::default, SizeHint::with_exact)
-    }
-}
-
 /// An answer's body. When it is done with, its connection rests again.
 struct Answer {
     body: Either<Full<Bytes>, Pieces>,
--- a/crates/plankvale/src/lib.rs
+++ b/crates/plankvale/src/lib.rs
@@ -9,6 +9,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use millethook_engine::budget::{Bytes, Sockets};
 use millethook_engine::{Engine, EngineConfig, PeerConfig};
@@ -37,17 +38,16 @@
     let listener = listen(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
     let Config { peers, peers_all: all, .. } = config;
     let peers = config.peer_listen.map(|listen| PeerConfig { listen, peers, all });
-    let engine = Engine::start(EngineConfig {
+    let sockets = Rc::new(Sockets::new(config.sockets));
+    let engine = EngineConfig {
         settings: config.settings,
-        names: config.names,
+        names: Arc::new(config.names),
         seed: config.seed,
-        sockets: Rc::new(Sockets::new(config.sockets)),
-        discovery: config.discovery,
+        discovery: Some(config.discovery),
         known: config.known,
         peers,
-    })
-    .await?;
-    let engine = Rc::new(engine);
+    };
+    let engine = Rc::new(Engine::start(engine, sockets).await?);
     let bytes = Bytes::new((config.memory as f64 * BODIES) as usize);
     let ids = OpenIds::new(engine.longest_deadline);
     let ingress = Ingress::new(
--- a/crates/plankvale/tests/sidecar/main.rs
+++ b/crates/plankvale/tests/sidecar/main.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod clients;
 mod framing;
+mod identity;
 mod outcomes;
 mod reload;
 mod rough;
