Wake the timers' task only for a timer that is the next to run out

Each request sets three timers, and each of them woke the task that waits for the next and had it arm its sleep anew; nearly always a nearer one was set already.

--- a/crates/millethook-engine/src/driver.rs
+++ b/crates/millethook-engine/src/driver.rs
@@ -249,8 +249,12 @@
             Action::Fail { id } => self.end(id, Reply::Failed),
             Action::Timer { delay, token } => {
                 let at = Instant::now() + Duration::from_micros(delay);
-                self.timers.borrow_mut().push(Reverse((at, token)));
-                self.sooner.notify_one();
+                let mut timers = self.timers.borrow_mut();
+                let first = timers.peek().is_none_or(|Reverse((next, _))| at < *next);
+                timers.push(Reverse((at, token)));
+                if first {
+                    self.sooner.notify_one();
+                }
             }
             Action::Probe { server } => {
                 let dial = self.core.borrow().servers.get(&server).copied();
