Let daemon and library make attempts and answers in one place

The library built a request's copy for servers, a served answer and Retry-After beside the daemon's own code, and read inherited headers beside the reader of heads. One module, answer, serves both now, and the rule that a header stands once is one function. A path is checked by splitting it, not by a state machine, and waiting for a socket is a plain loop.

--- a/crates/millethook-engine/src/upstream.rs
+++ b/crates/millethook-engine/src/upstream.rs
@@ -416,30 +416,27 @@
         dial: SocketAddr,
     ) -> Result<(Connection, bool), Outcome> {
         let until = Instant::now() + PLACE_WAIT;
-        let mut place = self.sockets.servers.try_take();
-        while place.is_none() {
-            // A connection at rest, here or with another engine of the budget, makes room.
-            if !self.give_up_one() {
-                self.sockets.servers.want();
-            }
-            let left = until.saturating_duration_since(Instant::now());
-            tokio::select! {
-                taken = self.sockets.servers.take(left) => {
-                    // For want of a socket here nothing is known of the server.
-                    place = Some(taken.ok_or(Outcome::Moot)?);
+        let place = match self.sockets.servers.try_take() {
+            Some(place) => place,
+            None => loop {
+                // A connection at rest, here or with another engine of the budget, makes room.
+                if !self.give_up_one() {
+                    self.sockets.servers.want();
                 }
-                // Danger: what waited for a socket alone would not see that all of them rest.
-                () = self.rested.notified() => {
-                    if let Some(connection) = self.reuse(server, dial).await {
-                        return Ok((connection, true));
+                let left = until.saturating_duration_since(Instant::now());
+                tokio::select! {
+                    // For want of a socket here nothing is known of the server.
+                    taken = self.sockets.servers.take(left) => break taken.ok_or(Outcome::Moot)?,
+                    // Danger: what waited for a socket alone would not see that all of them rest.
+                    () = self.rested.notified() => {
+                        if let Some(connection) = self.reuse(server, dial).await {
+                            return Ok((connection, true));
+                        }
                     }
                 }
-            }
-        }
-        let opened = match place {
-            Some(place) => self.open(dial, place).await,
-            None => None,
+            },
         };
+        let opened = self.open(dial, place).await;
         opened.map(|connection| (connection, false)).ok_or(Outcome::ConnectFailed)
     }
 
--- /dev/null
+++ b/crates/millethook-http/src/answer.rs
@@ -0,0 +1,55 @@
+//! What both forms make of a request and of its answer: the copy that goes to servers, the answer that
+//! goes to the caller, and the time at which one that is refused may come back.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{Either, Full};
+use hyper::Response;
+use hyper::header::HeaderValue;
+use hyper::http::request::Parts;
+use millethook_engine::budget::Account;
+use millethook_engine::driver::{Asked, LongReply};
+use millethook_engine::upstream::{Head, Spec};
+
+use crate::body::Pieces;
+use crate::head::passed_on;
+
+/// An answer's body: whole, or passed on as it comes.
+pub type AnswerBody = Either<Full<Bytes>, Pieces>;
+
+/// What servers get, and what is kept for repeats.
+pub fn spec(head: Parts, asked: &Asked, body: Vec<Bytes>, account: Account) -> Spec {
+    let target = head.uri.path_and_query().cloned().map(hyper::Uri::from).unwrap_or_default();
+    Spec {
+        method: head.method,
+        target,
+        headers: passed_on(&head.headers),
+        repeatable: asked.repeatable,
+        streaming: asked.streaming,
+        body,
+        account,
+    }
+}
+
+/// A server's answer that is whole.
+pub fn whole(head: &Head, body: Bytes) -> Response<AnswerBody> {
+    answer(head, Either::Left(Full::new(body)))
+}
+
+/// A server's answer that is still coming in.
+pub fn long(mut long: LongReply) -> Response<AnswerBody> {
+    let head = std::mem::take(&mut long.head);
+    answer(&head, Either::Right(Pieces::from(long)))
+}
+
+fn answer(head: &Head, body: AnswerBody) -> Response<AnswerBody> {
+    let mut response = Response::new(body);
+    *response.headers_mut() = passed_on(head);
+    response
+}
+
+/// The value of `Retry-After`, in seconds with a fraction.
+pub fn retry_after(time: Duration) -> Option<HeaderValue> {
+    HeaderValue::try_from(format!("{:.3}", time.as_secs_f64())).ok()
+}
--- a/crates/millethook-http/src/head.rs
+++ b/crates/millethook-http/src/head.rs
@@ -110,6 +110,44 @@
     pub key: Option<u64>,
 }
 
+/// A header's value, if it stands in the head once.
+fn once<'h>(
+    headers: &'h HeaderMap,
+    name: &'static HeaderName,
+) -> Result<Option<&'h HeaderValue>, Invalid> {
+    let mut all = headers.get_all(name).iter();
+    let first = all.next();
+    if all.next().is_some() { Err(Invalid::Doubled(name.as_str())) } else { Ok(first) }
+}
+
+fn text<'h>(
+    name: &'static HeaderName,
+    value: Option<&'h HeaderValue>,
+) -> Result<Option<&'h str>, Invalid> {
+    let text = value.map(HeaderValue::to_str).transpose();
+    text.map(|t| t.map(str::trim)).map_err(|_| Invalid::Header(name.as_str()))
+}
+
+/// The text of a header that may stand in a head once at most.
+///
+/// # Errors
+/// It stands there twice, or is no text.
+pub fn single<'h>(
+    headers: &'h HeaderMap,
+    name: &'static HeaderName,
+) -> Result<Option<&'h str>, Invalid> {
+    text(name, once(headers, name)?)
+}
+
+/// What [`TIME_LEFT`] says.
+///
+/// # Errors
+/// It is no number of milliseconds below 2^32.
+pub fn time_left(text: &str) -> Result<Duration, Invalid> {
+    let millis = text.parse::<u32>().map_err(|_| Invalid::Header(TIME_LEFT.as_str()))?;
+    Ok(Duration::from_millis(millis.into()))
+}
+
 /// What a head asks for, and the request's id.
 ///
 /// # Errors
@@ -121,15 +159,10 @@
     headers: &'h HeaderMap,
     beside: Beside<'_>,
 ) -> Result<(Asked, &'h str), Invalid> {
-    let doubled = |name: &&HeaderName| headers.get_all(*name).iter().nth(1).is_some();
-    if let Some(name) = SINGLE.into_iter().find(doubled) {
-        return Err(Invalid::Doubled(name.as_str()));
+    for name in SINGLE {
+        once(headers, name)?;
     }
-    let text = |name: &'static HeaderName| match headers.get(name).map(HeaderValue::to_str) {
-        None => Ok(None),
-        Some(Ok(value)) => Ok(Some(value.trim())),
-        Some(Err(_)) => Err(Invalid::Header(name.as_str())),
-    };
+    let text = |name: &'static HeaderName| text(name, headers.get(name));
     let of_path = one_class(uri.path())?;
     let class = beside.class.unwrap_or(of_path);
     // Danger: a server goes by the path.
@@ -146,10 +179,10 @@
         return Err(Invalid::Key { needed: class.repeat == Repeat::Keyed });
     }
     let id = text(&CORRELATION_ID)?.filter(|id| !id.is_empty());
-    let id = id.ok_or(Invalid::Missing("x-correlation-id"))?;
+    let id = id.ok_or(Invalid::Missing(CORRELATION_ID.as_str()))?;
     let tenant = match text(&ACCOUNT)? {
         _ if names.tenants.is_empty() => 0,
-        None => return Err(Invalid::Missing("x-account")),
+        None => return Err(Invalid::Missing(ACCOUNT.as_str())),
         Some(name) => {
             let known = names.tenants.get(name).copied();
             known.ok_or_else(|| Invalid::UnknownTenant(name.to_owned()))?
@@ -158,12 +191,9 @@
     let left = match (beside.left, text(&TIME_LEFT)?) {
         (Some(left), None) => left,
         (Some(left), Some(value)) if value.parse() == Ok(left.as_millis()) => left,
-        (Some(_), Some(_)) => return Err(Invalid::Disagree("x-time-left-ms")),
-        (None, None) => return Err(Invalid::Missing("x-time-left-ms")),
-        (None, Some(value)) => {
-            let millis = value.parse::<u32>().map_err(|_| Invalid::Header("x-time-left-ms"))?;
-            Duration::from_millis(millis.into())
-        }
+        (Some(_), Some(_)) => return Err(Invalid::Disagree(TIME_LEFT.as_str())),
+        (None, None) => return Err(Invalid::Missing(TIME_LEFT.as_str())),
+        (None, Some(value)) => time_left(value)?,
     };
     let cookie = headers.get_all(header::COOKIE).iter().find_map(key);
     let key = match (beside.key, cookie) {
@@ -193,41 +223,26 @@
     let rest = path.strip_prefix('/').ok_or(Invalid::Path)?;
     let class = rest.split('/').next().filter(|class| !class.is_empty() || rest.is_empty());
     let class = class.ok_or(Invalid::Path)?;
-    let plain = |c: u8| matches!(c, b'/' | b'\\');
-    let mut bytes = rest.bytes();
-    // Length of the present part, as far as it holds nothing but dots.
-    let mut dots = Some(0);
-    loop {
-        let byte = bytes.next();
-        let byte = match byte {
-            Some(b'%') => {
-                let escape = [bytes.next(), bytes.next()];
-                match escape {
-                    [Some(b'2'), Some(b'e' | b'E')] => Some(b'.'),
-                    [Some(b'2'), Some(b'f' | b'F')] => Some(b'/'),
-                    [Some(b'5'), Some(b'c' | b'C')] => Some(b'\\'),
-                    [Some(a), Some(b)] if a.is_ascii_hexdigit() && b.is_ascii_hexdigit() => {
-                        Some(b'x')
-                    }
-                    _ => return Err(Invalid::Path),
-                }
-            }
-            byte => byte,
-        };
-        match byte {
-            Some(b'.') => dots = dots.map(|n| n + 1),
-            Some(c) if !plain(c) => dots = None,
-            end => {
-                if matches!(dots, Some(1 | 2)) {
-                    return Err(Invalid::Path);
-                }
-                if end.is_none() {
-                    return Ok(class);
-                }
-                dots = Some(0);
-            }
-        }
+    let resolves = |bytes: &[u8]| {
+        let mut parts = bytes.split(|byte| matches!(byte, b'/' | b'\\'));
+        parts.any(|part| matches!(part, b"." | b".."))
+    };
+    let resolved = match rest.contains('%') {
+        true => resolves(&unescaped(rest).ok_or(Invalid::Path)?),
+        false => resolves(rest.as_bytes()),
+    };
+    if resolved { Err(Invalid::Path) } else { Ok(class) }
+}
+
+/// A path with its escapes resolved. None: one of them is none.
+fn unescaped(path: &str) -> Option<Vec<u8>> {
+    let mut chars = path.bytes();
+    let mut out = Vec::with_capacity(path.len());
+    while let Some(byte) = chars.next() {
+        let mut digit = || char::from(chars.next()?).to_digit(16);
+        out.push(if byte == b'%' { (digit()? * 16 + digit()?) as u8 } else { byte });
     }
+    Some(out)
 }
 
 /// What the cookie `k` names.
--- a/crates/millethook-http/src/ingress.rs
+++ b/crates/millethook-http/src/ingress.rs
@@ -22,15 +22,15 @@
 use millethook_engine::driver::{Driver, Reply};
 use millethook_engine::names::Names;
 use millethook_engine::stream::{self, Observer, Stream};
-use millethook_engine::upstream::Spec;
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
-use crate::body::{Gone, Pieces, ReadError, read};
+use crate::answer::{self, AnswerBody};
+use crate::body::{Gone, ReadError, read};
 use crate::guard::{HeadScan, OpenIds};
-use crate::head::{Beside, asked, passed_on};
+use crate::head::{Beside, asked};
 
 /// The most that hyper reads ahead, and so the longest head. Danger: each of a crowd of clients may
 /// fill as much.
@@ -416,12 +416,7 @@
         };
         client.enter(Phase::Taken);
         claim.keep();
-        let target = head.uri.path_and_query().cloned().map(hyper::Uri::from);
-        let headers = passed_on(&head.headers);
-        let target = target.unwrap_or_default();
-        let (repeatable, streaming) = (asked.repeatable, asked.streaming);
-        let spec =
-            Spec { method: head.method, target, headers, repeatable, streaming, body, account };
+        let spec = answer::spec(head, &asked, body, account);
         let mut ticket = self.driver.request(asked, spec);
         Ok(Ok(ticket.reply().await))
     }
@@ -474,30 +469,20 @@
     let _ = timeout(LINGER, drained).await;
 }
 
-fn plain(status: StatusCode) -> Response<Either<Full<Bytes>, Pieces>> {
+fn plain(status: StatusCode) -> Response<AnswerBody> {
     let mut response = Response::new(Either::Left(Full::default()));
     *response.status_mut() = status;
     response
 }
 
-fn written(reply: Reply) -> Response<Either<Full<Bytes>, Pieces>> {
+fn written(reply: Reply) -> Response<AnswerBody> {
     match reply {
-        Reply::Served(head, body) => {
-            let mut response = Response::new(Either::Left(Full::new(body)));
-            *response.headers_mut() = passed_on(&head);
-            response
-        }
-        Reply::Long(mut long) => {
-            let head = std::mem::take(&mut long.head);
-            let mut response = Response::new(Either::Right(Pieces::from(long)));
-            *response.headers_mut() = passed_on(&head);
-            response
-        }
+        Reply::Served(head, body) => answer::whole(&head, body),
+        Reply::Long(long) => answer::long(long),
         Reply::Refused { retry_after, .. } => {
             let mut response = plain(StatusCode::SERVICE_UNAVAILABLE);
-            let seconds = retry_after.map(|t| format!("{:.3}", t.as_secs_f64()));
-            if let Some(Ok(seconds)) = seconds.map(HeaderValue::try_from) {
-                response.headers_mut().insert(header::RETRY_AFTER, seconds);
+            if let Some(value) = retry_after.and_then(answer::retry_after) {
+                response.headers_mut().insert(header::RETRY_AFTER, value);
             }
             response
         }
@@ -507,7 +492,7 @@
 
 /// An answer's body. When it is done with, its connection rests again.
 struct Answer {
-    body: Either<Full<Bytes>, Pieces>,
+    body: AnswerBody,
     client: Rc<Client>,
 }
 
--- a/crates/millethook-http/src/lib.rs
+++ b/crates/millethook-http/src/lib.rs
@@ -1,6 +1,7 @@
 //! The front for clients that speak HTTP/1.1: their connections, and the requests that come on them.
 #![forbid(unsafe_code)]
 
+pub mod answer;
 pub mod body;
 pub mod guard;
 pub mod head;
--- a/crates/millethook/src/body.rs
+++ b/crates/millethook/src/body.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body::{Body as _, Frame, SizeHint};
 use http_body_util::{Either, Full};
-use millethook_http::body::Pieces;
+use millethook_http::answer::AnswerBody;
 
 use crate::error::BoxError;
 use crate::fleet::Entered;
@@ -16,23 +16,20 @@
 /// A long answer that breaks off ends in an error, never as if it were whole. Dropped on the way,
 /// the attempt behind it is called off.
 pub struct Body {
-    inner: Either<Full<Bytes>, Pieces>,
+    inner: AnswerBody,
     /// Keeps the fleet open, and a drain waiting, until a long answer is through.
     _entered: Option<Entered>,
 }
 
 impl Body {
-    pub(crate) fn whole(bytes: Bytes) -> Body {
-        Body { inner: Either::Left(Full::new(bytes)), _entered: None }
-    }
-
-    pub(crate) fn long(pieces: Pieces, entered: Entered) -> Body {
-        Body { inner: Either::Right(pieces), _entered: Some(entered) }
+    /// `entered` keeps the fleet open for what is still coming in.
+    pub(crate) fn new(inner: AnswerBody, entered: Option<Entered>) -> Body {
+        Body { inner, _entered: entered }
     }
 
     /// A body of no bytes.
     pub fn empty() -> Body {
-        Body::whole(Bytes::new())
+        Body::new(Either::Left(Full::default()), None)
     }
 }
 
--- a/crates/millethook/src/fleet.rs
+++ b/crates/millethook/src/fleet.rs
@@ -8,13 +8,11 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use http::request::Parts;
 use http::{Request, Response};
-use millethook_engine::budget::{Account, Bytes, LONGEST_BODY, ServerPlaces};
-use millethook_engine::driver::{Asked, Reply};
-use millethook_engine::upstream::Spec;
-use millethook_http::body::{Pieces, ReadError, read};
-use millethook_http::head::passed_on;
+use millethook_engine::budget::{Bytes, LONGEST_BODY, ServerPlaces};
+use millethook_engine::driver::Reply;
+use millethook_http::answer;
+use millethook_http::body::{ReadError, read};
 use tokio::sync::{Notify, Semaphore, mpsc, oneshot, watch};
 use tokio::time::{timeout, timeout_at};
 use tower_service::Service;
@@ -266,7 +264,7 @@
         let names = &shared.config.names;
         let (asked, id) = describe(names, &mut head, meta, inherited.as_ref(), || shared.new_id())?;
         let Ok(place) = shared.places.clone().try_acquire_owned() else {
-            return Err(Error::Refused { retry_after: None, execution: Execution::NeverRan });
+            return Err(unsent());
         };
         let until = began + asked.left;
         let mut account = shared.bytes.account();
@@ -275,11 +273,9 @@
             Ok(Err(ReadError::TooLong)) => return Err(Error::TooLarge { limit: LONGEST_BODY }),
             Ok(Err(ReadError::Broken(e))) => return Err(Error::Body(e.into())),
             // Its time is over, and it has gone nowhere.
-            Err(_) => {
-                return Err(Error::Refused { retry_after: None, execution: Execution::NeverRan });
-            }
+            Err(_) => return Err(unsent()),
         };
-        let spec = spec(head, &asked, body, account);
+        let spec = answer::spec(head, &asked, body, account);
         let (reply, answer) = oneshot::channel();
         let call = Call { asked, id, spec, until, reply, place };
         let sent = shared.commands.send(Command::Call(Box::new(call)));
@@ -292,16 +288,9 @@
         };
         match reply {
             Reply::Served(head, body) => {
-                let mut response = Response::new(Body::whole(body));
-                *response.headers_mut() = passed_on(&head);
-                Ok(response)
-            }
-            Reply::Long(mut long) => {
-                let head = std::mem::take(&mut long.head);
-                let mut response = Response::new(Body::long(Pieces::from(long), entered));
-                *response.headers_mut() = passed_on(&head);
-                Ok(response)
+                Ok(answer::whole(&head, body).map(|body| Body::new(body, None)))
             }
+            Reply::Long(long) => Ok(answer::long(long).map(|body| Body::new(body, Some(entered)))),
             Reply::Refused { retry_after, may_have_run } => {
                 let execution =
                     if may_have_run { Execution::MayHaveRun } else { Execution::NeverRan };
@@ -353,24 +342,15 @@
         })
     }
 
-    /// The classes of the fleet's configuration.
+    /// Whether the fleet's configuration has this class.
     pub(crate) fn has_class(&self, class: &str) -> bool {
         self.shared().config.names.classes.contains_key(class)
     }
 }
 
-/// What servers get, and what is kept for repeats.
-fn spec(head: Parts, asked: &Asked, body: Vec<bytes::Bytes>, account: Account) -> Spec {
-    let target = head.uri.path_and_query().cloned().map(http::Uri::from).unwrap_or_default();
-    Spec {
-        method: head.method,
-        target,
-        headers: passed_on(&head.headers),
-        repeatable: asked.repeatable,
-        streaming: asked.streaming,
-        body,
-        account,
-    }
+/// Turned away before anything was sent.
+fn unsent() -> Error {
+    Error::Refused { retry_after: None, execution: Execution::NeverRan }
 }
 
 impl<B> Service<Request<B>> for Fleet
--- a/crates/millethook/src/inherit.rs
+++ b/crates/millethook/src/inherit.rs
@@ -10,7 +10,7 @@
 use http::header::HeaderMap;
 use http::{Request, Response, StatusCode};
 use http_body_util::Either;
-use millethook_http::head::Invalid;
+use millethook_http::head::{ACCOUNT, CORRELATION_ID, Invalid, TIME_LEFT, single, time_left};
 use tower_layer::Layer;
 use tower_service::Service;
 
@@ -42,21 +42,12 @@
     /// # Errors
     /// A header that stands there twice, or whose value makes no sense.
     pub fn from_headers(headers: &HeaderMap) -> Result<Inherited, Invalid> {
-        let single = |name: &'static str| {
-            let mut all = headers.get_all(name).iter();
-            let (first, second) = (all.next(), all.next());
-            if second.is_some() {
-                return Err(Invalid::Doubled(name));
-            }
-            let text = first.map(|v| v.to_str().map(str::trim)).transpose();
-            text.map_err(|_| Invalid::Header(name)).map(|t| t.map(str::to_owned))
-        };
-        let left = single("x-time-left-ms")?.map(|text| text.parse::<u32>());
-        let left = left.transpose().map_err(|_| Invalid::Header("x-time-left-ms"))?;
+        let owned = |name| Ok(single(headers, name)?.map(str::to_owned));
+        let left = single(headers, &TIME_LEFT)?.map(time_left).transpose()?;
         Ok(Inherited(Arc::new(Inner {
-            until: left.map(|ms| Instant::now() + Duration::from_millis(ms.into())),
-            tenant: single("x-account")?,
-            correlation: single("x-correlation-id")?.filter(|id| !id.is_empty()),
+            until: left.map(|left| Instant::now() + left),
+            tenant: owned(&ACCOUNT)?,
+            correlation: owned(&CORRELATION_ID)?.filter(|id| !id.is_empty()),
             calls: AtomicU32::new(0),
         })))
     }
--- a/crates/millethook/src/route.rs
+++ b/crates/millethook/src/route.rs
@@ -7,8 +7,9 @@
 use std::task::{Context, Poll};
 
 use http::header::RETRY_AFTER;
-use http::{HeaderValue, Request, Response};
+use http::{Request, Response};
 use http_body_util::Either;
+use millethook_http::answer;
 use tower_layer::Layer;
 use tower_service::Service;
 
@@ -22,9 +23,8 @@
     pub fn into_response(self) -> Response<Body> {
         let mut response = Response::new(Body::empty());
         *response.status_mut() = self.status();
-        let seconds = self.retry_after().map(|t| format!("{:.3}", t.as_secs_f64()));
-        if let Some(Ok(seconds)) = seconds.map(HeaderValue::try_from) {
-            response.headers_mut().insert(RETRY_AFTER, seconds);
+        if let Some(value) = self.retry_after().and_then(answer::retry_after) {
+            response.headers_mut().insert(RETRY_AFTER, value);
         }
         response
     }
