Close one connection at rest for a call that needs a socket, not two

Word of a connection that had come to rest earlier was kept until somebody waited for a socket; it ended that wait at once, and a second connection was closed for nothing. It is dropped before the wait.

--- a/crates/millethook-engine/src/upstream.rs
+++ b/crates/millethook-engine/src/upstream.rs
@@ -416,6 +416,9 @@
         dial: SocketAddr,
     ) -> Result<(Connection, bool), Outcome> {
         let until = Instant::now() + PLACE_WAIT;
+        // Danger: word of a connection that came to rest before would end the first wait at once, and
+        // cost another one its place.
+        pin!(self.rested.notified()).enable();
         let place = match self.sockets.servers.try_take() {
             Some(place) => place,
             None => loop {
--- a/crates/millethook/tests/library/sharing.rs
+++ b/crates/millethook/tests/library/sharing.rs
@@ -195,6 +195,26 @@
     }
 }
 
+/// Two sockets and three servers: a call that needs a socket closes one connection at rest, not both.
+#[test]
+fn a_call_that_needs_a_socket_closes_one_connection() {
+    let stage = Stage::new(3, |_| Fault::Serve("fine".into()));
+    let config = builder(&name(), &stage.servers).sockets(2).build().expect("sound");
+    let fleet = Fleet::open(config).expect("open");
+    runtime().block_on(async {
+        let mut most = 0;
+        for n in 0..60 {
+            fleet.call(request("order")).await.expect("served");
+            let resting = fleet.usage().await.expect("alive").resting;
+            most = most.max(resting);
+            assert_eq!(resting, most, "call {n} closed more than it needed");
+        }
+        assert_eq!(most, 2);
+    });
+    let used: std::collections::HashSet<_> = stage.seen().iter().map(|a| a.server).collect();
+    assert_eq!(used.len(), 3);
+}
+
 /// More open requests than the configuration allows are refused at once, having gone nowhere.
 #[test]
 fn too_many_open_requests_are_refused_at_once() {
