Operators' address with figures; upgrades that pass clients' connections on

Figures count where a request ends and where an attempt's last byte is written, so the library counts alike. millethook-handover takes the inherited listening socket over without unsafe code, and passes connections by SCM_RIGHTS to whoever holds the seat in TMPDIR: idle ones at once, others after their answer. The new process accepts once it has a list. The datagram socket may be bound by both.

Ruled out before building: that the second process failed for anything but its address (its log said so; peer_listen would have been next). Without a successor the old drain stays.

--- a/crates/coppercart/src/decide/mod.rs
+++ b/crates/coppercart/src/decide/mod.rs
@@ -23,6 +23,7 @@
 mod shedding;
 mod subsets;
 mod timers;
+pub mod view;
 
 /// Sends that a request refused as full may cost in all, if the settings allow as many.
 const FULL_TRIES: usize = 4;
--- a/crates/coppercart/src/decide/picking.rs
+++ b/crates/coppercart/src/decide/picking.rs
@@ -35,7 +35,7 @@
     }
 
     /// A server that gives no sign of life gets nothing but single, rarer and rarer trials.
-    fn healthy(&self, s: &Server) -> bool {
+    pub(super) fn healthy(&self, s: &Server) -> bool {
         // Danger: where answers are spoilt now and then at all servers alike, one that may hold a
         // single trial after each leaves its share to the others. A lone reset asks for none.
         let trial = s.failures > 0 && s.shunned_until > 0 && s.in_flight > 0;
--- a/crates/millethook-engine/src/driver/attempts.rs
+++ b/crates/millethook-engine/src/driver/attempts.rs
@@ -12,6 +12,7 @@
 
 use super::Driver;
 use super::request::{Reply, StreamingReply};
+use crate::figures::Disposition;
 use crate::upstream::{AttemptOutcome, AttemptRequest, Head, StreamingResponse};
 
 /// A server that stops within an answer for so long will not go on with it.
@@ -145,10 +146,15 @@
             request.touched |= !outcome.never_ran();
             if request.streaming == Some(attempt) {
                 request.streaming = None;
+                // Of a caller that is gone any count will do.
+                let served = outcome == Outcome::Served;
+                let how = if served { Disposition::Succeeded } else { Disposition::Aborted };
+                self.figures.ended(request.class, how);
             }
             if let Some((head, body)) = answer
                 && let Some(reply) = request.reply.take()
             {
+                self.figures.ended(request.class, Disposition::Succeeded);
                 let _ = reply.send(Reply::Served(head, body));
             }
             finished = request.ended();
--- a/crates/millethook-engine/src/driver/mod.rs
+++ b/crates/millethook-engine/src/driver/mod.rs
@@ -17,6 +17,7 @@
     Action, Event, LoadReport, Micros, NewRequest, Outcome, RequestId, ServerId,
 };
 use coppercart::decide::Balancer;
+use coppercart::decide::view::ServerCounts;
 use coppercart::settings::{ReportHow, Settings};
 use millethook_connect::pool::{Counts, Ended};
 use rustc_hash::FxHashMap;
@@ -24,6 +25,7 @@
 use tokio::task::spawn_local;
 
 use crate::discovery::Call;
+use crate::figures::{Disposition, Figures};
 use crate::names::Names;
 use crate::news::PeerSender;
 use crate::upstream::{AttemptRequest, Calls, Upstream};
@@ -58,6 +60,7 @@
     actions: Cell<Vec<Action>>,
     timers: Timers,
     first_list: Notify,
+    figures: Rc<Figures>,
 }
 
 /// What an engine has under way and holds.
@@ -86,6 +89,7 @@
         upstream: Rc<Upstream>,
         discovery: mpsc::UnboundedSender<Call>,
         peers: Option<Rc<dyn PeerSender>>,
+        figures: Rc<Figures>,
     ) -> Rc<Driver> {
         // `born_ms` of servers is Unix time, so the module's clock is, too; it never steps back.
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -109,6 +113,7 @@
             actions: Cell::default(),
             timers: Timers::default(),
             first_list: Notify::new(),
+            figures,
         });
         spawn_local(driver.clone().run_timers());
         driver
@@ -185,6 +190,7 @@
             core.next_id += 1;
             let id = RequestId(core.next_id);
             let pending = Pending {
+                class: asked.class,
                 reply: Some(reply),
                 spec: Some(Rc::new(spec)),
                 attempts: Vec::new(),
@@ -238,10 +244,23 @@
         }
     }
 
+    /// Servers on the list, and those of them that are avoided.
+    pub fn server_counts(&self) -> ServerCounts {
+        self.core.borrow().balancer.server_counts()
+    }
+
+    /// Requests that are taken and have no end yet.
+    pub fn outstanding(&self) -> usize {
+        self.core.borrow().requests.values().filter(|r| !r.ended()).count()
+    }
+
     fn end(self: &Rc<Driver>, id: RequestId, reply: Reply) {
         if let Some(request) = self.core.borrow_mut().requests.get_mut(&id) {
             request.spec = None;
             if let Some(to) = request.reply.take() {
+                let refused = matches!(reply, Reply::Refused { .. });
+                let how = if refused { Disposition::Declined } else { Disposition::Aborted };
+                self.figures.ended(request.class, how);
                 let _ = to.send(reply);
             }
         }
--- a/crates/millethook-engine/src/driver/request.rs
+++ b/crates/millethook-engine/src/driver/request.rs
@@ -81,6 +81,8 @@
 }
 
 pub(super) struct Pending {
+    /// Its class's place in the settings.
+    pub class: usize,
     pub reply: Option<oneshot::Sender<Reply>>,
     /// None once no further attempt can need it.
     pub spec: Option<Rc<AttemptRequest>>,
--- a/crates/millethook-engine/src/engine.rs
+++ b/crates/millethook-engine/src/engine.rs
@@ -9,6 +9,7 @@
 use coppercart::settings::Settings;
 use millethook_connect::Begins;
 use millethook_connect::pool::Limits;
+use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::spawn_local;
@@ -16,6 +17,7 @@
 use crate::budget::Sockets;
 use crate::discovery::Discovery;
 use crate::driver::Driver;
+use crate::figures::Figures;
 use crate::list::List;
 use crate::names::Names;
 use crate::news::PeerSender;
@@ -58,6 +60,8 @@
     pub driver: Rc<Driver>,
     /// The names that stand on sockets for the module's numbers.
     pub names: Arc<Names>,
+    /// What it has done so far.
+    pub figures: Rc<Figures>,
     /// The sockets that it may hold.
     pub sockets: Rc<Sockets>,
     /// The longest deadline of a class.
@@ -75,7 +79,7 @@
     pub async fn start(config: EngineConfig, sockets: Rc<Sockets>) -> Result<Engine, String> {
         let peers = match config.peers {
             Some(PeerConfig { listen, peers, all }) => {
-                let socket = UdpSocket::bind(listen).await;
+                let socket = datagrams(listen);
                 let socket = socket.map_err(|e| format!("peer_listen: {listen}: {e}"))?;
                 Some(Peers::new(socket, peers, all))
             }
@@ -83,9 +87,11 @@
         };
         let names = config.names;
         let limits = &config.settings.limits;
+        let figures = Rc::new(Figures::new(&names));
         let upstream = Upstream::new(
             sockets.clone(),
             names.clone(),
+            figures.clone(),
             UpstreamConfig {
                 begins: config.begins,
                 connect_timeout: Duration::from_micros(limits.connect_timeout),
@@ -107,6 +113,7 @@
             upstream,
             to_discovery,
             teller,
+            figures.clone(),
         );
         let version = config.known.as_ref().map_or(0, |known| known.seq);
         if let Some(known) = &config.known {
@@ -130,7 +137,7 @@
         if let Some(peers) = peers.clone() {
             spawn_local(peers.listen(driver.clone()));
         }
-        Ok(Engine { driver, names, sockets, longest_deadline, tried, discovery, peers })
+        Ok(Engine { driver, names, figures, sockets, longest_deadline, tried, discovery, peers })
     }
 
     /// Waits until discovery has first been tried.
@@ -149,3 +156,13 @@
         }
     }
 }
+
+/// A socket for datagrams at `at`. A new version of the program starts beside the old one, under the
+/// same addresses; what arrives goes to the one that bound last (socket(7), `SO_REUSEADDR`).
+fn datagrams(at: SocketAddr) -> std::io::Result<UdpSocket> {
+    let socket = Socket::new(Domain::for_address(at), Type::DGRAM, Some(Protocol::UDP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&at.into())?;
+    UdpSocket::from_std(socket.into())
+}
--- a/crates/millethook-engine/src/lib.rs
+++ b/crates/millethook-engine/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod discovery;
 pub mod driver;
 mod engine;
+pub mod figures;
 pub mod list;
 pub mod names;
 pub mod news;
--- a/crates/millethook-engine/src/upstream/attempt.rs
+++ b/crates/millethook-engine/src/upstream/attempt.rs
@@ -22,6 +22,7 @@
 use super::connection::{Connection, Lease};
 use super::{StreamingResponse, Upstream};
 use crate::budget::ByteReservation;
+use crate::figures::Figures;
 
 /// Answers up to this size are read whole before their outcome is told.
 pub const WHOLE: usize = 64 << 10;
@@ -71,6 +72,8 @@
 pub struct AttemptRequest {
     /// What goes out.
     pub encoded: EncodedRequest,
+    /// It asks for a page of the server's own, and no caller for it.
+    pub own_page: bool,
     /// Sent twice, it does no harm.
     pub repeatable: bool,
     /// Its answer may be long, and take its time.
@@ -87,6 +90,7 @@
         let target = Uri::from_static(path);
         AttemptRequest {
             encoded: EncodedRequest::new(&Method::GET, &target, &HeaderMap::new(), Vec::new()),
+            own_page: true,
             repeatable: true,
             streaming: false,
             aim: patience * HANDSHAKE_SHARE,
@@ -128,6 +132,8 @@
     pub exchange: Exchange,
     /// The request and its head, until all of it is out.
     message: Option<(Rc<AttemptRequest>, Vec<u8>)>,
+    /// Told when all of it is out. None for a page of the server's own.
+    figures: Option<Rc<Figures>>,
 }
 
 enum Step {
@@ -142,7 +148,7 @@
     /// Danger: a server that answers early may read the body all the same, and may need it to end its
     /// answer: what is left of the request goes out while the answer comes in.
     fn poll_step(&mut self, cx: &mut Context<'_>) -> Poll<Result<Step, Failure>> {
-        let Running { lease, exchange, message } = self;
+        let Running { lease, exchange, message, figures } = self;
         let Some(connection) = lease.connection() else {
             return Poll::Ready(Err(Failure::Closed));
         };
@@ -150,6 +156,9 @@
             write(cx, connection, exchange, &request.encoded, head);
             if exchange.progress() == Progress::Whole {
                 *message = None;
+                if let Some(figures) = figures {
+                    figures.attempt_written();
+                }
             }
         }
         if let Some(event) = exchange.read(&mut connection.buf)? {
@@ -271,7 +280,9 @@
         request.encoded.head_into(&mut head, left.as_millis() as u64, dial);
         let body = request.encoded.body_len();
         let exchange = Exchange::new(self.config.begins, head.len(), body, trial.is_some());
-        let mut running = Running { lease, exchange, message: Some((request.clone(), head)) };
+        let figures = (!request.own_page).then(|| self.figures.clone());
+        let mut running =
+            Running { lease, exchange, message: Some((request.clone(), head)), figures };
         let mut event = None;
         if let Some(trial) = trial {
             event = timeout(trial, running.event(false)).await.ok();
--- a/crates/millethook-engine/src/upstream/mod.rs
+++ b/crates/millethook-engine/src/upstream/mod.rs
@@ -23,6 +23,7 @@
 use tokio::time::sleep_until;
 
 use crate::budget::{Permit, Sockets};
+use crate::figures::Figures;
 use crate::names::Names;
 
 pub use attempt::{AttemptOutcome, AttemptRequest, Head};
@@ -60,11 +61,17 @@
     /// Whom connections at rest wake.
     watcher: RefCell<Waker>,
     counter: Rc<Counter>,
+    figures: Rc<Figures>,
 }
 
 impl Upstream {
     /// No connections yet.
-    pub fn new(sockets: Rc<Sockets>, names: Arc<Names>, config: UpstreamConfig) -> Rc<Upstream> {
+    pub fn new(
+        sockets: Rc<Sockets>,
+        names: Arc<Names>,
+        figures: Rc<Figures>,
+        config: UpstreamConfig,
+    ) -> Rc<Upstream> {
         let upstream = Rc::new(Upstream {
             pool: RefCell::new(Pool::new(config.limits)),
             sockets,
@@ -74,6 +81,7 @@
             starved: Cell::new(0),
             watcher: RefCell::new(Waker::noop().clone()),
             counter: Rc::default(),
+            figures,
         });
         spawn_local(upstream.clone().watch());
         spawn_local(upstream.clone().sweep());
--- /dev/null
+++ b/crates/millethook-handover/src/seat.rs
@@ -0,0 +1,229 @@
+//! Who serves at present, and the way for clients' connections to whoever serves next.
+//!
+//! The seat is a Unix domain socket at a known path. A process takes it by binding a socket under a name
+//! of its own and renaming that over the path, so that there is always exactly one holder to be found.
+//! One byte goes with each connection; what it means is for the caller to say.
+
+use std::io::{self, IoSlice};
+use std::mem::MaybeUninit;
+use std::net::TcpStream;
+use std::os::fd::AsFd;
+use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
+
+use rustix::net::{SendAncillaryBuffer, SendAncillaryMessage, SendFlags, sendmsg};
+use socket2::Socket;
+use tokio::io::Interest;
+use tokio::net::{UnixListener, UnixStream as AsyncStream};
+
+use crate::inherited::receive;
+
+/// The seat, held. Dropped, it is given up unless somebody else holds it by now.
+pub struct Seat {
+    listener: UnixListener,
+    path: PathBuf,
+    /// The file's number, by which to tell one's own seat from a successor's.
+    inode: u64,
+}
+
+impl Seat {
+    /// Takes the seat at `path` from whoever holds it. Must be called within a runtime.
+    ///
+    /// # Errors
+    /// The folder cannot be written to, or the path is too long for a socket (107 bytes).
+    pub fn take(path: &Path) -> io::Result<Seat> {
+        let own = path.with_extension(std::process::id().to_string());
+        // One that a process of the same number left behind.
+        let _ = std::fs::remove_file(&own);
+        let listener = UnixListener::bind(&own)?;
+        let taken = rustix::fs::chmod(&own, rustix::fs::Mode::RUSR | rustix::fs::Mode::WUSR)
+            .map_err(io::Error::from)
+            .and_then(|()| inode(&own))
+            .and_then(|inode| std::fs::rename(&own, path).map(|()| inode));
+        match taken {
+            Ok(inode) => Ok(Seat { listener, path: path.to_owned(), inode }),
+            Err(e) => {
+                let _ = std::fs::remove_file(&own);
+                Err(e)
+            }
+        }
+    }
+
+    /// The next process that has connections to pass on. Cancel safe.
+    ///
+    /// Danger: a connection taken from another user could be anything, so only one's own user is heard.
+    pub async fn predecessor(&self) -> io::Result<Predecessor> {
+        loop {
+            let (stream, _) = self.listener.accept().await?;
+            if stream.peer_cred()?.uid() == rustix::process::getuid().as_raw() {
+                return Ok(Predecessor { stream });
+            }
+        }
+    }
+
+    /// The process that holds the seat by now, if it is not this one.
+    pub fn successor(&self) -> Option<Successor> {
+        let now = inode(&self.path).ok()?;
+        if now == self.inode {
+            return None;
+        }
+        let stream = UnixStream::connect(&self.path).ok()?;
+        stream.set_nonblocking(true).ok()?;
+        Some(Successor { stream })
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        if inode(&self.path).is_ok_and(|now| now == self.inode) {
+            let _ = std::fs::remove_file(&self.path);
+        }
+    }
+}
+
+fn inode(path: &Path) -> io::Result<u64> {
+    use std::os::unix::fs::MetadataExt;
+    Ok(std::fs::symlink_metadata(path)?.ino())
+}
+
+/// The process that takes connections over.
+pub struct Successor {
+    stream: UnixStream,
+}
+
+impl Successor {
+    /// Passes a connection on, with a byte that tells of it. The caller's own descriptor stays open
+    /// and is to be dropped without a shutdown.
+    ///
+    /// Danger: what has been sent and is not yet received dies with the successor. Its clients then see a
+    /// reset, as they do when any process that serves them dies.
+    ///
+    /// # Errors
+    /// The successor is gone, or so many connections are under way to it that no more fit (`WouldBlock`).
+    pub fn pass(&self, connection: impl AsFd, byte: u8) -> io::Result<()> {
+        let fds = [connection.as_fd()];
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+        let mut control = SendAncillaryBuffer::new(&mut space);
+        control.push(SendAncillaryMessage::ScmRights(&fds));
+        let bytes = [byte];
+        sendmsg(&self.stream, &[IoSlice::new(&bytes)], &mut control, SendFlags::NOSIGNAL)?;
+        Ok(())
+    }
+}
+
+/// A process that passes its connections on.
+pub struct Predecessor {
+    stream: AsyncStream,
+}
+
+impl Predecessor {
+    /// The next connection, not blocking, and its byte. None: there are no more. What is no TCP
+    /// connection is passed over. Cancel safe.
+    ///
+    /// # Errors
+    /// The way to the other process broke.
+    pub async fn next(&self) -> io::Result<Option<(TcpStream, u8)>> {
+        loop {
+            self.stream.readable().await?;
+            let got = self.stream.try_io(Interest::READABLE, || {
+                let stream = self.stream.as_fd().try_clone_to_owned()?;
+                receive(&UnixStream::from(stream))
+            });
+            match got {
+                Ok((None, _)) => return Ok(None),
+                Ok((Some(_), None)) => {}
+                Ok((Some(byte), Some(fd))) => {
+                    let socket = Socket::from(fd);
+                    let tcp = socket.peer_addr().is_ok_and(|peer| peer.as_socket().is_some());
+                    if tcp && socket.set_nonblocking(true).is_ok() {
+                        return Ok(Some((socket.into(), byte)));
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Err(e),
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::{Read, Write};
+    use std::net::TcpListener;
+
+    fn path(name: &str) -> PathBuf {
+        let name = format!("millethook-seat-{}-{name}", std::process::id());
+        std::env::temp_dir().join(name)
+    }
+
+    fn pair() -> (TcpStream, TcpStream) {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let client = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        (client, listener.accept().unwrap().0)
+    }
+
+    #[tokio::test]
+    async fn connections_go_to_whoever_took_the_seat_last_with_their_unread_bytes() {
+        let path = path("passes");
+        let old = Seat::take(&path).unwrap();
+        assert!(old.successor().is_none(), "it holds the seat itself");
+        let new = Seat::take(&path).unwrap();
+        let successor = old.successor().expect("a successor");
+        let (mut client, served) = pair();
+        client.write_all(b"unread").unwrap();
+        successor.pass(&served, 7).unwrap();
+        drop((served, successor));
+        let predecessor = new.predecessor().await.unwrap();
+        let (mut passed, byte) = predecessor.next().await.unwrap().expect("a connection");
+        assert_eq!(byte, 7);
+        passed.set_nonblocking(false).unwrap();
+        let mut bytes = [0; 6];
+        passed.read_exact(&mut bytes).unwrap();
+        assert_eq!(&bytes, b"unread");
+        passed.write_all(b"answer").unwrap();
+        client.read_exact(&mut bytes).unwrap();
+        assert_eq!(&bytes, b"answer");
+        assert!(predecessor.next().await.unwrap().is_none());
+        drop(old);
+        assert!(path.exists(), "an old holder must not take the seat away");
+        drop(new);
+        assert!(!path.exists());
+    }
+
+    #[tokio::test]
+    async fn a_successor_that_died_takes_nothing() {
+        let path = path("died");
+        let old = Seat::take(&path).unwrap();
+        let new = Seat::take(&path).unwrap();
+        let successor = old.successor().expect("a successor");
+        drop(new);
+        let (_client, served) = pair();
+        assert!(successor.pass(&served, 0).is_err());
+        assert!(old.successor().is_none(), "nobody is there");
+    }
+
+    #[tokio::test]
+    async fn a_full_way_refuses_and_loses_nothing() {
+        let path = path("full");
+        let old = Seat::take(&path).unwrap();
+        let new = Seat::take(&path).unwrap();
+        let successor = old.successor().expect("a successor");
+        let (_client, served) = pair();
+        let mut passed = 0;
+        let full = loop {
+            match successor.pass(&served, 1) {
+                Ok(()) => passed += 1,
+                Err(e) => break e,
+            }
+            assert!(passed < 100_000, "there is no bound");
+        };
+        assert!(passed > 0, "{full}");
+        drop(successor);
+        let predecessor = new.predecessor().await.unwrap();
+        for _ in 0..passed {
+            assert!(predecessor.next().await.unwrap().is_some());
+        }
+        assert!(predecessor.next().await.unwrap().is_none());
+    }
+}
--- a/crates/millethook-http/src/answer.rs
+++ b/crates/millethook-http/src/answer.rs
@@ -29,6 +29,7 @@
     let target = head.uri.path_and_query().cloned().map(hyper::Uri::from).unwrap_or_default();
     AttemptRequest {
         encoded: EncodedRequest::new(&head.method, &target, &passed_on(head.headers), body),
+        own_page: false,
         repeatable: asked.repeatable,
         streaming: asked.streaming,
         aim: asked.aim,
--- a/crates/millethook-http/src/ingress.rs
+++ b/crates/millethook-http/src/ingress.rs
@@ -199,6 +199,14 @@
     accepted: Cell<(u64, Instant)>,
     draining: Cell<bool>,
     tried: Cell<bool>,
+    /// Who takes over the connections of clients, at a planned end.
+    successor: RefCell<Option<Rc<dyn Successor>>>,
+}
+
+/// A process that goes on with clients' connections where this one ends.
+pub trait Successor {
+    /// Passes an idle connection on; `asked`: its client has had an answer. False: it stays here.
+    fn pass(&self, connection: &TcpStream, asked: bool) -> bool;
 }
 
 impl Ingress {
@@ -220,9 +228,26 @@
             accepted: Cell::new((0, Instant::now())),
             draining: Cell::new(false),
             tried: Cell::new(false),
+            successor: RefCell::default(),
         })
     }
 
+    /// From now on idle connections go to `successor`, and the others after their answer.
+    pub fn hand_over(&self, successor: Rc<dyn Successor>) {
+        self.draining.set(true);
+        self.successor.replace(Some(successor));
+    }
+
+    /// Whether requests can be served: discovery was tried, and there is a list of servers.
+    pub fn is_ready(&self) -> bool {
+        self.tried.get() && self.driver.listed()
+    }
+
+    /// How many clients are connected.
+    pub fn connected(&self) -> usize {
+        self.clients.borrow().len()
+    }
+
     /// Discovery has answered, or failed to: what is known of servers is as new as can be.
     pub fn discovery_tried(&self) {
         self.tried.set(true);
@@ -260,10 +285,8 @@
             let place = self.place().await;
             match listener.accept().await {
                 Ok((socket, _)) => {
-                    let n = self.accepted.get().0 + 1;
-                    self.accepted.set((n, Instant::now()));
-                    tokio::task::spawn_local(self.clone().client(n, socket, place));
-                    self.thin();
+                    self.accepted.set((self.accepted.get().0, Instant::now()));
+                    self.take(socket, place, false);
                 }
                 Err(e) => {
                     // Danger: an accept that fails for want of descriptors (or because the client
@@ -276,6 +299,21 @@
         }
     }
 
+    /// Goes on with a connection that another process passed on. Waits for a place for it.
+    pub async fn adopt(self: &Rc<Ingress>, socket: TcpStream, asked: bool) {
+        let place = self.place().await;
+        self.take(socket, place, asked);
+    }
+
+    fn take(self: &Rc<Ingress>, socket: TcpStream, place: Permit, asked: bool) {
+        let (n, last) = self.accepted.get();
+        self.accepted.set((n + 1, last));
+        let client = Client::new();
+        client.answers.set(asked.into());
+        tokio::task::spawn_local(self.clone().client(n, socket, place, Rc::new(client)));
+        self.thin();
+    }
+
     /// A place for one more client. In a crowd one that has nothing under way makes room.
     async fn place(&self) -> Permit {
         loop {
@@ -319,10 +357,15 @@
         }
     }
 
-    async fn client(self: Rc<Ingress>, n: u64, socket: TcpStream, place: Permit) {
+    async fn client(
+        self: Rc<Ingress>,
+        n: u64,
+        socket: TcpStream,
+        place: Permit,
+        client: Rc<Client>,
+    ) {
         let _ = socket.set_nodelay(true);
         let socket = Rc::new(socket);
-        let client = Rc::new(Client::new());
         self.clients.borrow_mut().insert(n, client.clone());
         let io = TokioIo::new(Stream::new(socket.clone(), client.clone()));
         let mut connection = Box::pin(
@@ -334,17 +377,19 @@
                     service_fn(|request| self.clone().serve(client.clone(), request)),
                 ),
         );
-        let answered = tokio::select! {
+        let ended = tokio::select! {
             // Danger: a request that is read in the instant in which its connection was to go would
             // be lost. Who has been told to leave is not read any more, and who has a request under
             // way by then stays.
             biased;
-            () = told_to_leave(&client) => false,
-            () = stalled(&client) => false,
-            ended = connection.as_mut() => ended.map_or_else(|e| e.is_parse(), |()| true),
+            () = told_to_leave(&client) => None,
+            () = stalled(&client) => Some(false),
+            ended = connection.as_mut() => Some(ended.map_or_else(|e| e.is_parse(), |()| true)),
         };
         drop(connection);
-        if answered {
+        if ended.is_none() && self.passed_on(&client, &socket) {
+            // The connection is the successor's: dropped here, it stays open there.
+        } else if ended == Some(true) {
             client.enter(Phase::Ending);
             tokio::select! {
                 () = linger(&socket) => {}
@@ -360,6 +405,14 @@
         drop(place);
     }
 
+    /// Whether a successor has taken the connection. Only one on which nothing of a request has been
+    /// read can go: what was read would be missing there.
+    fn passed_on(&self, client: &Client, socket: &TcpStream) -> bool {
+        let successor = self.successor.borrow().clone();
+        client.phase.get() == Phase::Resting
+            && successor.is_some_and(|successor| successor.pass(socket, client.asked()))
+    }
+
     async fn serve(
         self: Rc<Ingress>,
         client: Rc<Client>,
@@ -377,7 +430,8 @@
             // Danger: what follows a request that makes no sense makes none either.
             Err(status) => (plain(status), status == StatusCode::BAD_REQUEST),
         };
-        if last || self.draining.get() {
+        // A successor goes on with the connection.
+        if last || (self.draining.get() && self.successor.borrow().is_none()) {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         client.enter(Phase::Answered);
@@ -396,8 +450,11 @@
             return Ok(Err(StatusCode::BAD_REQUEST));
         }
         if head.uri.path() == "/health/ready" {
-            let ready = self.tried.get() && self.driver.listed();
-            return Ok(Err(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }));
+            return Ok(Err(if self.is_ready() {
+                StatusCode::OK
+            } else {
+                StatusCode::SERVICE_UNAVAILABLE
+            }));
         }
         let chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
         if !client.head.borrow().one_framing(chunked) {
--- a/crates/millethook-testkit/src/daemon.rs
+++ b/crates/millethook-testkit/src/daemon.rs
@@ -1,7 +1,8 @@
 //! The daemon's process.
 
 use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::Mutex;
@@ -72,6 +73,8 @@
 pub struct Sidecar {
     pub child: Child,
     pub address: SocketAddr,
+    /// Where operators call, if they may.
+    pub admin: Option<SocketAddr>,
     path: PathBuf,
     log: Mutex<Receiver<String>>,
 }
@@ -99,12 +102,32 @@
     }
 
     fn launch_program(program: &Path, config: &Value) -> Sidecar {
-        let (mut command, path) = command_of(program, &config.to_string());
+        Sidecar::spawn(command_of(program, &config.to_string()))
+    }
+
+    /// Starts one that shares the clients' listening socket and a folder with others, as an upgrade does,
+    /// and waits until it listens.
+    pub fn launch_beside(config: &Value, listener: &TcpListener, folder: &Path) -> Sidecar {
+        let (command, path) = command_of(&program("plankvale"), &config.to_string());
+        // Only a shell can leave a descriptor open under a number without `unsafe`.
+        let mut shell = Command::new("/bin/sh");
+        shell.args(["-c", "exec \"$0\" 7<&0 </dev/null"]).arg(command.get_program());
+        let socket: OwnedFd = listener.try_clone().unwrap().into();
+        shell.env_clear().env("LB_CONFIG", &path).env("LB_INHERITED_FD", "7");
+        shell.env("TMPDIR", folder).stdin(socket).stdout(Stdio::piped()).stderr(Stdio::piped());
+        Sidecar::spawn((shell, path))
+    }
+
+    fn spawn((mut command, path): (Command, PathBuf)) -> Sidecar {
         let mut child = command.spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
+        let mut admin = None;
         let address = loop {
             let mut line = String::new();
             assert_ne!(log.read_line(&mut line).unwrap(), 0, "the sidecar ended");
+            if let Some((_, at)) = line.trim().split_once("operators call at ") {
+                admin = Some(at.parse().unwrap());
+            }
             if let Some((_, at)) = line.trim().split_once("listens on ") {
                 break at.parse().unwrap();
             }
@@ -115,7 +138,7 @@
                 let _ = tell.send(line);
             }
         });
-        Sidecar { child, address, path, log: Mutex::new(told) }
+        Sidecar { child, address, admin, path, log: Mutex::new(told) }
     }
 
     /// One with as many servers as given and an agent that lists them.
@@ -146,6 +169,23 @@
         client.message().expect("an answer")
     }
 
+    /// One call at the operators' address.
+    pub fn operate(&self, call: &str) -> Message {
+        let mut operator = Conn::new(TcpStream::connect(self.admin.unwrap()).unwrap());
+        operator.send(format!("{call} HTTP/1.1\r\nHost: a\r\n\r\n"));
+        operator.message().expect("an answer")
+    }
+
+    /// A figure of `GET /v1/metrics`.
+    pub fn figure(&self, name: &str) -> u64 {
+        let metrics = String::from_utf8(self.operate("GET /v1/metrics").body).unwrap();
+        let figure = metrics.lines().find_map(|line| {
+            let (key, value) = line.split_once(':')?;
+            (key == name).then(|| value.split('|').next().unwrap().parse().unwrap())
+        });
+        figure.unwrap_or_else(|| panic!("no {name} in {metrics}"))
+    }
+
     /// Who answers a safe request, where servers answer with their names.
     pub fn served_by(&self) -> String {
         String::from_utf8(self.ask(safe()).body).unwrap()
--- a/crates/millethook-testkit/src/message.rs
+++ b/crates/millethook-testkit/src/message.rs
@@ -83,6 +83,12 @@
         Some(message)
     }
 
+    /// Sends a request and reads its answer.
+    pub fn message_to(&mut self, request: impl AsRef<[u8]>) -> Option<Message> {
+        self.send(request);
+        self.message()
+    }
+
     /// Reads so many bytes of a body whose head has been read. None: the connection ended first.
     pub fn body(&mut self, length: u64) -> Option<Vec<u8>> {
         let mut body = Vec::new();
--- a/crates/plankvale/src/config.rs
+++ b/crates/plankvale/src/config.rs
@@ -2,6 +2,7 @@
 //! checked here; an error names the key.
 
 use std::net::SocketAddr;
+use std::os::fd::RawFd;
 
 use coppercart::settings::Settings;
 use millethook_connect::Begins;
@@ -19,6 +20,10 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call, if they may.
+    pub admin: Option<SocketAddr>,
+    /// The clients' listening socket, where whoever started this process holds it.
+    pub inherited: Option<RawFd>,
     /// Where discovery is.
     pub discovery: SocketAddr,
     /// For random numbers.
@@ -47,6 +52,7 @@
 struct File {
     name: Option<String>,
     listen: Option<String>,
+    admin: Option<String>,
     discovery: Option<String>,
     seed: String,
     limits: Limits,
@@ -75,8 +81,21 @@
         };
         let path = var("LB_CONFIG")?.ok_or("LB_CONFIG: the path of the configuration expected")?;
         let text = std::fs::read(&path).map_err(|e| format!("LB_CONFIG: {path}: {e}"))?;
-        Config::from_json(&text, [var("LB_NAME")?, var("LB_LISTEN")?, var("LB_DISCOVERY")?])
-            .map_err(|e| format!("LB_CONFIG: {e}"))
+        let mut config =
+            Config::from_json(&text, [var("LB_NAME")?, var("LB_LISTEN")?, var("LB_DISCOVERY")?])
+                .map_err(|e| format!("LB_CONFIG: {e}"))?;
+        // Danger: two processes of one sidecar may read the same file, and each has an address of its own
+        // for operators. The variable belongs to the process.
+        if let Some(admin) = var("LB_ADMIN")? {
+            config.admin = Some(address("LB_ADMIN", &admin)?);
+        }
+        if let Some(fd) = var("LB_INHERITED_FD")? {
+            let number = fd.parse().ok().filter(|fd| *fd > 2);
+            config.inherited = Some(number.ok_or_else(|| {
+                format!("LB_INHERITED_FD: the number of a descriptor above 2 expected, not {fd:?}")
+            })?);
+        }
+        Ok(config)
     }
 
     /// Reads a configuration; `env` holds the name and the addresses as the variables have them.
@@ -91,9 +110,6 @@
             Some(discovery) => discovery,
             None => agreed("discovery", None, "LB_DISCOVERY", discovery)?,
         };
-        let address = |key: &str, text: String| {
-            text.parse().map_err(|_| format!("{key}: an address and a port expected, not {text:?}"))
-        };
         let seed = u64::from_str_radix(&file.seed, 16)
             .map_err(|_| format!("seed: 16 hexadecimal digits expected, not {:?}", file.seed))?;
         if file.limits.sockets < 128 {
@@ -111,8 +127,10 @@
         let begins = file.begins.map_or(Ok(Begins::Whole), |text| text.parse());
         Ok(Config {
             name,
-            listen: address("listen", listen)?,
-            discovery: address("discovery", discovery)?,
+            listen: address("listen", &listen)?,
+            admin: file.admin.map(|admin| address("admin", &admin)).transpose()?,
+            inherited: None,
+            discovery: address("discovery", &discovery)?,
             seed,
             memory: file.limits.memory_mb << 20,
             sockets: file.limits.sockets,
@@ -127,6 +145,10 @@
     }
 }
 
+fn address(key: &str, text: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_| format!("{key}: an address and a port expected, not {text:?}"))
+}
+
 /// A value that may stand in the file, in a variable or, the same, in both.
 fn agreed(
     key: &str,
--- a/crates/plankvale/src/lib.rs
+++ b/crates/plankvale/src/lib.rs
@@ -3,40 +3,62 @@
 #![forbid(unsafe_code)]
 
 pub mod config;
+mod operated;
 mod shutdown;
+mod succession;
 
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use millethook_connect::pool::Limits;
 use millethook_engine::budget::{Bytes, Sockets};
 use millethook_engine::{Engine, EngineConfig, PeerConfig};
+use millethook_handover::inherited;
 use millethook_http::guard::OpenIds;
 use millethook_http::ingress::Ingress;
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
+use tokio::time::timeout;
 
 use config::Config;
+use operated::{Operated, Reloaded};
 
 /// Connections that may wait to be accepted: a crowd comes within a second.
 const BACKLOG: i32 = 4096;
 /// The share of the memory that bodies of requests may take.
 const BODIES: f64 = 0.4;
 
+/// How long a process beside another one waits for a list of servers before it accepts clients.
+const UNLISTED: Duration = Duration::from_secs(1);
+
+/// A change of the configuration, as SIGHUP brings it. None: the file was not sound.
+pub type Reload = Option<Config>;
+
 /// Runs the sidecar until `stop` is done and all that was taken is answered. `reloads` brings the
 /// configurations that come later. An error names the address that could not be had.
 pub async fn run(
     config: Config,
     stop: impl Future<Output = ()>,
-    reloads: mpsc::Receiver<Config>,
+    reloads: mpsc::Receiver<Reload>,
 ) -> Result<(), String> {
     let inert = Inert::of(&config);
-    let listener = listen(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
+    let listener = match config.inherited {
+        Some(fd) => inherited::listener(fd)
+            .and_then(TcpListener::from_std)
+            .map_err(|e| format!("LB_INHERITED_FD: {fd}: {e}"))?,
+        None => listen(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?,
+    };
+    let admin = match config.admin {
+        Some(at) => Some(listen(at).map_err(|e| format!("admin: {at}: {e}"))?),
+        None => None,
+    };
+    let seat = config.inherited.and_then(|_| succession::take_seat(&config.name));
     let Config { peers, peers_all: all, .. } = config;
     let peers = config.peer_listen.map(|listen| PeerConfig { listen, peers, all });
     let sockets = Rc::new(Sockets::new(config.sockets));
@@ -60,16 +82,41 @@
         bytes,
         ids,
     );
-    spawn_local(follow(reloads, inert, engine.clone()));
+    let reloaded = Rc::default();
+    spawn_local(follow(reloads, inert, engine.clone(), Rc::clone(&reloaded)));
+    let operated = Rc::new(Operated::new(ingress.clone(), engine.clone(), reloaded));
+    if let Some(admin) = admin {
+        let at = admin.local_addr().map_err(|e| format!("admin: {e}"))?;
+        tracing::info!("operators call at {at}");
+        spawn_local(millethook_admin::serve(admin, operated.clone()));
+    }
     let at = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
     tracing::info!("{} listens on {at}", config.name);
-    let accepting = ingress.clone().accept(listener);
+    if let Some(seat) = seat.clone() {
+        spawn_local(succession::adopt(seat, ingress.clone()));
+    }
+    let shares_listener = config.inherited.is_some();
+    let (front, driver) = (ingress.clone(), engine.driver.clone());
+    let accepting = async move {
+        // The process beside this one serves until this one can.
+        if shares_listener {
+            let _ = timeout(UNLISTED, driver.first_listed()).await;
+        }
+        front.accept(listener).await;
+    };
     tokio::pin!(accepting, stop);
     tokio::select! {
         () = accepting.as_mut() => {}
         () = first_try(&ingress, &engine) => {}
         () = stop => {}
     }
+    operated.stopping();
+    if let Some(successor) = seat.and_then(|seat| seat.successor()) {
+        tracing::info!("{}: a successor goes on with clients' connections", config.name);
+        shutdown::hand_over(ingress, Rc::new(succession::Next(successor)), engine.longest_deadline)
+            .await;
+        return Ok(());
+    }
     tokio::select! {
         () = accepting => {}
         () = shutdown::drain(ingress, engine.longest_deadline) => {}
@@ -98,8 +145,18 @@
 }
 
 /// Takes on new configurations: where discovery is, and where the other sidecars are.
-async fn follow(mut reloads: mpsc::Receiver<Config>, inert: Inert, engine: Rc<Engine>) {
+async fn follow(
+    mut reloads: mpsc::Receiver<Reload>,
+    inert: Inert,
+    engine: Rc<Engine>,
+    reloaded: Rc<Reloaded>,
+) {
     while let Some(config) = reloads.recv().await {
+        let Some(config) = config else {
+            reloaded.rejected.set(reloaded.rejected.get() + 1);
+            continue;
+        };
+        reloaded.applied.set(reloaded.applied.get() + 1);
         if Inert::of(&config) != inert {
             tracing::warn!("new configuration: sockets and limits change at the next start only");
         }
--- a/crates/plankvale/src/main.rs
+++ b/crates/plankvale/src/main.rs
@@ -3,6 +3,7 @@
 
 use std::process::ExitCode;
 
+use plankvale::Reload;
 use plankvale::config::Config;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc;
@@ -38,15 +39,17 @@
 }
 
 /// Reads the configuration anew at each SIGHUP. One that is not sound leaves the old one in force.
-async fn reload(mut changed: Signal, to_sidecar: mpsc::Sender<Config>) {
+async fn reload(mut changed: Signal, to_sidecar: mpsc::Sender<Reload>) {
     while changed.recv().await.is_some() {
-        match Config::from_env() {
-            Ok(config) => {
-                if to_sidecar.send(config).await.is_err() {
-                    return;
-                }
+        let config = match Config::from_env() {
+            Ok(config) => Some(config),
+            Err(e) => {
+                tracing::error!("the configuration stays as it was: {e}");
+                None
             }
-            Err(e) => tracing::error!("the configuration stays as it was: {e}"),
+        };
+        if to_sidecar.send(config).await.is_err() {
+            return;
         }
     }
 }
--- /dev/null
+++ b/crates/plankvale/src/operated.rs
@@ -0,0 +1,50 @@
+//! What operators see of the daemon.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use millethook_admin::{Operator, statsd};
+use millethook_engine::Engine;
+use millethook_http::ingress::Ingress;
+
+/// Configurations that came while the daemon ran.
+#[derive(Default)]
+pub struct Reloaded {
+    /// Taken over.
+    pub applied: Cell<u64>,
+    /// Turned down; the one in force stays.
+    pub rejected: Cell<u64>,
+}
+
+/// The daemon, as operators ask for it.
+pub struct Operated {
+    ingress: Rc<Ingress>,
+    engine: Rc<Engine>,
+    reloaded: Rc<Reloaded>,
+    stopping: Cell<bool>,
+}
+
+impl Operated {
+    pub fn new(ingress: Rc<Ingress>, engine: Rc<Engine>, reloaded: Rc<Reloaded>) -> Operated {
+        Operated { ingress, engine, reloaded, stopping: Cell::new(false) }
+    }
+
+    /// From now on it is not ready: what comes new is for others.
+    pub fn stopping(&self) {
+        self.stopping.set(true);
+    }
+}
+
+impl Operator for Operated {
+    fn is_ready(&self) -> bool {
+        !self.stopping.get() && self.ingress.is_ready()
+    }
+
+    fn metrics(&self) -> String {
+        let mut lines = statsd::Lines::default();
+        statsd::engine(&mut lines, &self.engine);
+        lines.count("sighup_applied", self.reloaded.applied.get());
+        lines.count("sighup_rejected", self.reloaded.rejected.get());
+        lines.into_string()
+    }
+}
--- a/crates/plankvale/src/shutdown.rs
+++ b/crates/plankvale/src/shutdown.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use millethook_http::ingress::Ingress;
+use millethook_http::ingress::{Ingress, Successor};
 use tokio::time::sleep;
 
 /// New connections go on coming for up to 0.4 s; once none has come for a while after that, the
@@ -38,3 +38,20 @@
         sleep(LOOK).await;
     }
 }
+
+/// Passes clients' connections on to `successor`, each as soon as no request is open on it, until none
+/// is left. The successor accepts new ones, so this process accepts no more.
+pub async fn hand_over(
+    ingress: Rc<Ingress>,
+    successor: Rc<dyn Successor>,
+    longest_deadline: Duration,
+) {
+    let signal = Instant::now();
+    ingress.hand_over(successor);
+    while ingress.connected() > 0 && signal.elapsed() < longest_deadline + SPARE {
+        // Danger: a request that is not whole by then might not be answered before the process is
+        // killed; its client sends it once more.
+        ingress.close_idle(signal.elapsed() >= LAST_TAKEN);
+        sleep(LOOK).await;
+    }
+}
--- /dev/null
+++ b/crates/plankvale/tests/sidecar/operators.rs
@@ -0,0 +1,130 @@
+//! The operators' address: readiness, figures that agree with what peers saw, and callers that stay.
+
+use std::net::TcpStream;
+use std::sync::mpsc::channel;
+
+use millethook_testkit::*;
+use serde_json::{Value, json};
+
+fn operated(agent: &Agent) -> Value {
+    config(agent.address, |c| c["admin"] = json!("127.0.0.1:0"))
+}
+
+#[test]
+fn ready_once_there_is_a_list() {
+    let agent = Agent::start(Vec::new());
+    let sidecar = Sidecar::launch(&operated(&agent));
+    assert_eq!(sidecar.operate("GET /v1/readyz").status(), 503);
+    agent.change(hosts(&[Server::named("a")]));
+    within("ready", || sidecar.operate("GET /v1/readyz").status() == 200);
+    assert_eq!(sidecar.operate("PUT /v1/readyz").status(), 405);
+    assert_eq!(sidecar.operate("GET /v1/nothing").status(), 404);
+    assert_eq!(sidecar.figure("sidecar.discovered"), 1);
+}
+
+#[test]
+fn figures_agree_with_what_peers_saw() {
+    let (asked, told) = channel();
+    // Orders fail, and what is kept is held until the test says so.
+    let (servers, log, _) = servers(2, move |mut conn, seen| {
+        match seen.message.first.split(['/', ' ']).nth(2) {
+            Some("order") => conn.send(answer("500 No", "", "")),
+            Some("keep") => {
+                let (go, going) = channel::<()>();
+                let _ = asked.send(go);
+                let _ = going.recv_timeout(BOUND);
+                conn.send(ok("kept"));
+            }
+            _ => conn.send(ok("seen")),
+        }
+        Some(conn)
+    });
+    let agent = Agent::start(hosts(&servers));
+    let sidecar = Sidecar::start(&operated(&agent));
+    for _ in 0..5 {
+        assert_eq!(sidecar.ask(safe()).status(), 200);
+    }
+    assert_eq!(sidecar.ask(unsafe_with("x")).status(), 502);
+    let mut keeping = sidecar.client();
+    keeping.send(keyed());
+    let go = next(&told);
+    assert_eq!(sidecar.figure("sidecar.outstanding"), 1);
+    go.send(()).unwrap();
+    assert_eq!(keeping.message().unwrap().status(), 200);
+    // What is invalid is no request.
+    assert_eq!(sidecar.ask("GET /nothing HTTP/1.1\r\nHost: a\r\n\r\n").status(), 404);
+    agent.change(Vec::new());
+    within("an empty list", || sidecar.figure("sidecar.discovered") == 0);
+    assert_eq!(sidecar.ask(safe()).status(), 503);
+    for (name, value) in [
+        ("succeeded.look", 5),
+        ("declined.look", 1),
+        ("aborted.look", 0),
+        ("succeeded.keep", 1),
+        ("aborted.order", 1),
+        ("succeeded.order", 0),
+        ("outstanding", 0),
+        ("ejected", 0),
+    ] {
+        assert_eq!(sidecar.figure(&format!("sidecar.{name}")), value, "{name}");
+    }
+    assert_eq!(sidecar.figure("sidecar.forwards"), log.count() as u64);
+}
+
+#[test]
+fn a_server_without_signs_of_life_is_ejected() {
+    let dead = Server::start(drop);
+    let agent =
+        Agent::start(vec![host("s-dead", dead.address), host("s-b", Server::named("b").address)]);
+    let sidecar = Sidecar::start(&operated(&agent));
+    within("it is avoided", || {
+        sidecar.ask(safe());
+        sidecar.figure("sidecar.ejected") == 1
+    });
+    assert_eq!(sidecar.figure("sidecar.discovered"), 2);
+}
+
+#[test]
+fn configurations_are_counted() {
+    let agent = Agent::start(hosts(&[Server::named("a")]));
+    let config = operated(&agent);
+    let sidecar = Sidecar::start(&config);
+    assert_eq!(sidecar.figure("sidecar.sighup_applied"), 0);
+    sidecar.reload(&config.to_string());
+    within("taken", || sidecar.figure("sidecar.sighup_applied") == 1);
+    sidecar.reload("{");
+    within("turned down", || sidecar.figure("sidecar.sighup_rejected") == 1);
+    assert_eq!(sidecar.figure("sidecar.sighup_applied"), 1);
+}
+
+/// Danger: callers that connect and say nothing, or half a call, must not lock out those that ask.
+#[test]
+fn callers_that_stay_keep_nobody_out() {
+    let agent = Agent::start(hosts(&[Server::named("a")]));
+    let sidecar = Sidecar::start(&operated(&agent));
+    let before = sidecar.descriptors();
+    let admin = sidecar.admin.unwrap();
+    let mut silent: Vec<_> = (0..200)
+        .map(|n| {
+            let mut caller = Conn::new(TcpStream::connect(admin).unwrap());
+            if n % 2 == 0 {
+                caller.send("GET /v1/me");
+            }
+            caller
+        })
+        .collect();
+    assert_eq!(sidecar.operate("GET /v1/readyz").status(), 200);
+    assert!(sidecar.descriptors() <= before + 20, "{} descriptors", sidecar.descriptors());
+    // Each of them is let go in the end.
+    assert!(silent.iter_mut().all(|caller| caller.ended()));
+    assert_eq!(sidecar.operate("GET /v1/readyz").status(), 200);
+}
+
+#[test]
+fn an_operators_address_that_is_none_is_named() {
+    let agent = Agent::start(Vec::new());
+    let output = fails(&config(agent.address, |c| c["admin"] = json!("here")).to_string(), &[]);
+    assert!(
+        String::from_utf8_lossy(&output.stderr).contains("admin: an address and a port expected")
+    );
+}
--- /dev/null
+++ b/crates/plankvale/tests/sidecar/upgrade.rs
@@ -0,0 +1,144 @@
+//! A new version beside the old one: no client sees the change.
+
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::sync::mpsc::channel;
+
+use millethook_testkit::*;
+use serde_json::{Value, json};
+
+/// A folder that processes share, and that goes with the test.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Folder {
+        let folder = std::env::temp_dir().join(format!("plankvale-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        Folder(folder)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn operated(agent: &Agent, listener: &TcpListener) -> Value {
+    let at = listener.local_addr().unwrap().to_string();
+    config(agent.address, |c| {
+        c["admin"] = json!("127.0.0.1:0");
+        c["listen"] = json!(at);
+        // A port of its own would have to be known to both.
+        c["peer_listen"] = json!("127.0.0.1:0");
+        c["peers"] = json!([at, at, at]);
+    })
+}
+
+#[test]
+fn clients_stay_connected_over_an_upgrade() {
+    let (asked, told) = channel();
+    let (servers, log, _) = servers(2, move |mut conn, seen| {
+        if seen.message.first.contains("/order") {
+            let (go, going) = channel::<()>();
+            let _ = asked.send(go);
+            let _ = going.recv_timeout(BOUND);
+        }
+        conn.send(ok("served"));
+        Some(conn)
+    });
+    let agent = Agent::start(hosts(&servers));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let folder = Folder::new("stay");
+    let config = operated(&agent, &listener);
+    let mut old = Sidecar::launch_beside(&config, &listener, &folder.0);
+    within("the old one is ready", || old.operate("GET /v1/readyz").status() == 200);
+
+    let mut asked_once: Vec<_> = (0..20).map(|_| old.client()).collect();
+    for client in &mut asked_once {
+        client.send(safe());
+        assert_eq!(client.message().unwrap().status(), 200);
+    }
+    let mut silent: Vec<_> = (0..5).map(|_| old.client()).collect();
+    let mut busy = old.client();
+    busy.send(unsafe_with("x"));
+    let go = next(&told);
+    let mut half = old.client();
+    let request = safe();
+    let (first, rest) = request.split_at(request.len() / 2);
+    half.send(first);
+
+    let new = Sidecar::launch_beside(&config, &listener, &folder.0);
+    within("the new one is ready", || new.operate("GET /v1/readyz").status() == 200);
+    old.terminate();
+    old.logged("a successor goes on");
+    assert_eq!(old.operate("GET /v1/readyz").status(), 503);
+    half.send(rest);
+    assert_eq!(half.message().unwrap().status(), 200);
+    go.send(()).unwrap();
+    assert_eq!(busy.message().unwrap().status(), 200);
+    assert_eq!(old.exit_code(), Some(0));
+
+    // The very same connections go on.
+    let all = asked_once.iter_mut().chain(&mut silent).chain([&mut busy, &mut half]);
+    for client in all {
+        client.send(safe());
+        assert_eq!(client.message().expect("still connected").status(), 200);
+    }
+    assert_eq!(new.ask(safe()).status(), 200);
+    assert_eq!(new.figure("sidecar.succeeded.look"), 28);
+    // Nothing ran twice on the way.
+    assert_eq!(log.count(), 50);
+}
+
+#[test]
+fn upgrades_follow_one_another() {
+    let agent = Agent::start(hosts(&[Server::named("a")]));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let folder = Folder::new("follow");
+    let config = operated(&agent, &listener);
+    let mut serving = Sidecar::launch_beside(&config, &listener, &folder.0);
+    let mut client = serving.client();
+    for _ in 0..3 {
+        client.send(safe());
+        assert_eq!(client.message().expect("still connected").status(), 200);
+        let next = Sidecar::launch_beside(&config, &listener, &folder.0);
+        within("ready", || next.operate("GET /v1/readyz").status() == 200);
+        serving.terminate();
+        assert_eq!(serving.exit_code(), Some(0));
+        serving = next;
+    }
+    assert_eq!(client.message_to(safe()).expect("still connected").status(), 200);
+}
+
+/// The new one may never come up: the old one then ends as if nobody were to follow.
+#[test]
+fn without_a_successor_it_drains() {
+    let agent = Agent::start(hosts(&[Server::named("a")]));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let folder = Folder::new("alone");
+    let config = operated(&agent, &listener);
+    let mut old = Sidecar::launch_beside(&config, &listener, &folder.0);
+    let mut client = old.client();
+    assert_eq!(client.message_to(safe()).unwrap().status(), 200);
+    let died = Sidecar::launch_beside(&config, &listener, &folder.0);
+    drop(died);
+    old.terminate();
+    assert!(client.ended());
+    assert_eq!(old.exit_code(), Some(0));
+}
+
+#[test]
+fn a_descriptor_that_is_no_listener_is_named() {
+    let agent = Agent::start(Vec::new());
+    let config = config(agent.address, |_| {}).to_string();
+    for (fd, complaint) in [
+        ("250", "LB_INHERITED_FD: 250: Bad file descriptor"),
+        ("x", "LB_INHERITED_FD: the number of a descriptor above 2 expected, not \"x\""),
+        ("0", "not \"0\""),
+    ] {
+        let output = fails(&config, &[("LB_INHERITED_FD", fd)]);
+        let log = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(log.contains(complaint), "{log}");
+    }
+}
