Take new settings over at SIGHUP; open requests keep their rules

Need: classes are added, dropped and changed, and attempts get fewer, while requests are open.

Classes are a table: one that stays keeps its place, one that changes gets a new one, and a place is used again when neither an open request nor names in use go by it. Attempts are fixed when a request comes. A file must have all keys of the one in force, at any depth.

A second balancer for new requests was weighed and left (both blind to the other's requests).

--- a/crates/coppercart/src/decide/mod.rs
+++ b/crates/coppercart/src/decide/mod.rs
@@ -18,6 +18,7 @@
 mod learning;
 mod picking;
 mod requests;
+mod retune;
 mod rules;
 mod servers;
 mod shedding;
@@ -113,6 +114,8 @@
     /// How heavy it was announced to be, beside the usual one of its class.
     heavy: f64,
     deadline: Micros,
+    /// The attempts that it may have by the settings under which it came.
+    most_attempts: usize,
     /// It has its final answer; only outcomes of attempts still out are awaited.
     ended: bool,
     /// A stream has begun: its time no longer runs, and nothing else may be sent.
@@ -185,10 +188,7 @@
 
 impl Balancer {
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Balancer {
-        let longest = |f: fn(&Class) -> Micros| settings.classes.iter().map(f).max().unwrap_or(1);
-        let classes = settings.classes.len();
-        let far_first = 1.0 / (1.0 + CROSSING_SHY * settings.prices.cross_zone.max(0.0));
-        Balancer {
+        let mut balancer = Balancer {
             rng: Pcg64Mcg::seed_from_u64(seed),
             servers: Vec::new(),
             by_id: FxHashMap::default(),
@@ -199,8 +199,8 @@
             met_at: 0,
             weighed: now,
             ranked_at_rate: 0.0,
-            far_share: far_first,
-            far_first,
+            far_share: 1.0,
+            far_first: 1.0,
             far_least: FAR_LEAST,
             side_load: [1.0; 2],
             rate: 0.0,
@@ -208,20 +208,23 @@
             requests: FxHashMap::default(),
             alarms: FxHashMap::default(),
             next_token: 0,
-            learned: vec![Learned::default(); classes],
+            learned: Vec::new(),
             lateness: Lateness::default(),
             usual_load: 0.0,
             retry_budget: 1.0,
             subscribe_failures: 0,
-            queue_column: settings.column("q"),
-            load_column: settings.column("rif").or(settings.column("q")),
-            held_column: settings.column("rif"),
+            queue_column: None,
+            load_column: None,
+            held_column: None,
             answer_mean: (0.0, 1.0),
-            longest_aim: longest(|c| c.aim) as f64,
-            reset_interval: longest(|c| c.deadline),
+            longest_aim: 0.0,
+            reset_interval: 0,
             now,
             settings,
-        }
+        };
+        balancer.settle_in();
+        balancer.far_share = balancer.far_first;
+        balancer
     }
 
     /// Takes one event and appends what to do about it.
@@ -247,11 +250,6 @@
         }
     }
 
-    /// How many requests have no end yet, or attempts whose outcome is awaited.
-    pub fn open(&self) -> usize {
-        self.requests.len()
-    }
-
     fn uniform(&mut self) -> f64 {
         (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
     }
--- a/crates/coppercart/src/decide/requests.rs
+++ b/crates/coppercart/src/decide/requests.rs
@@ -33,6 +33,7 @@
                 key: new.key,
                 heavy,
                 deadline: self.now + new.left,
+                most_attempts: self.settings.limits.max_attempts,
                 ended: false,
                 streaming: false,
                 attempts: SmallVec::new(),
--- a/crates/coppercart/src/decide/rules.rs
+++ b/crates/coppercart/src/decide/rules.rs
@@ -24,7 +24,7 @@
         if request.ended
             || request.streaming
             || self.now >= request.deadline
-            || request.attempts.len() >= limits.max_attempts
+            || request.attempts.len() >= request.most_attempts
             || (request.out() > 0 && !limits.may_duplicate)
         {
             return false;
--- a/crates/coppercart/src/decide/view.rs
+++ b/crates/coppercart/src/decide/view.rs
@@ -19,6 +19,11 @@
         ServerCounts { listed: listed.clone().count(), avoided: listed.filter(avoided).count() }
     }
 
+    /// How many requests have no end yet, or attempts whose outcome is awaited.
+    pub fn open(&self) -> usize {
+        self.requests.len()
+    }
+
     /// Whether requests of the class at this place are open.
     pub fn uses_class(&self, class: usize) -> bool {
         self.requests.values().any(|request| request.class == class)
--- a/crates/coppercart/src/settings.rs
+++ b/crates/coppercart/src/settings.rs
@@ -63,7 +63,7 @@
     Work,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Class {
     #[serde(default)]
@@ -83,6 +83,9 @@
     pub aim_stretch: f64,
     #[serde(default)]
     pub streaming: bool,
+    /// Newer settings lack it or have another in its stead. Its place is kept for requests that are open.
+    #[serde(skip)]
+    pub retired: bool,
 }
 
 #[derive(Clone, Debug, Deserialize, Default)]
@@ -222,9 +225,8 @@
 impl Settings {
     /// Reads and checks the settings. The error names the key and what was expected.
     pub fn from_json(text: &[u8]) -> Result<Settings, String> {
-        let mut s: Settings = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
+        let s: Settings = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
         s.check()?;
-        s.limits.max_attempts = s.limits.max_attempts.max(1);
         Ok(s)
     }
 
@@ -240,6 +242,7 @@
             need(c.credit >= 0.0, &key("credit", "a worth of 0 or more"))?;
             need((0.0..=1.0).contains(&c.late_worth), &key("lateWorth", "a share from 0 to 1"))?;
         }
+        need(self.limits.max_attempts > 0, "limits.maxAttempts: 1 or more expected")?;
         need(self.instances > 0, "instances: 1 or more expected")?;
         need(self.me < self.instances, "me: a number below instances expected")?;
         need(self.report.columns.len() <= 4, "report.columns: four names at most expected")?;
@@ -261,6 +264,41 @@
         Ok(())
     }
 
+    /// The greatest of such a figure of the classes in force.
+    pub fn longest(&self, of: fn(&Class) -> Micros) -> Micros {
+        self.classes.iter().filter(|class| !class.retired).map(of).max().unwrap_or(1)
+    }
+
+    /// These settings, followed by `new` while requests are open.
+    ///
+    /// A class that stays as it was keeps its place; any other of `new` gets one that no class has, or one of
+    /// a retired class that is not `held` any more. Open requests name their class by its place, so each goes
+    /// on under the rules that it came under. Names that stand for numbers elsewhere (zones, the columns of
+    /// load reports) stay as they are.
+    pub fn followed_by(&self, mut new: Settings, held: impl Fn(usize) -> bool) -> Settings {
+        let mut classes = self.classes.clone();
+        let stays = |class: &Class| new.classes.contains(class);
+        for class in classes.iter_mut().filter(|class| !stays(class)) {
+            // Danger: what it was worth would still be measured against when others are shed.
+            (class.retired, class.credit) = (true, 0.0);
+        }
+        for class in new.classes {
+            if classes.contains(&class) {
+                continue;
+            }
+            let free = (0..classes.len()).find(|&place| classes[place].retired && !held(place));
+            match free {
+                Some(place) => classes[place] = class,
+                None => classes.push(class),
+            }
+        }
+        new.classes = classes;
+        new.zones = self.zones.clone();
+        new.zone = self.zone;
+        new.report = self.report.clone();
+        new
+    }
+
     /// The position of a column of the load report.
     pub fn column(&self, name: &str) -> Option<usize> {
         self.report.columns.iter().position(|c| c == name)
--- a/crates/millethook-engine/src/driver/mod.rs
+++ b/crates/millethook-engine/src/driver/mod.rs
@@ -244,6 +244,19 @@
         }
     }
 
+    /// What the settings would be if `new` followed those in force now; `held` tells of places of retired
+    /// classes that something beside open requests still goes by.
+    pub fn settings_with(&self, new: Settings, held: impl Fn(usize) -> bool) -> Settings {
+        let core = self.core.borrow();
+        let balancer = &core.balancer;
+        balancer.settings().followed_by(new, |place| held(place) || balancer.uses_class(place))
+    }
+
+    /// Takes settings of [`Driver::settings_with`].
+    pub fn retune(&self, settings: Settings) {
+        self.core.borrow_mut().balancer.retune(settings);
+    }
+
     /// Servers on the list, and those of them that are avoided.
     pub fn server_counts(&self) -> ServerCounts {
         self.core.borrow().balancer.server_counts()
--- a/crates/millethook-engine/src/engine.rs
+++ b/crates/millethook-engine/src/engine.rs
@@ -1,5 +1,6 @@
 //! Puts an engine together: the driver, its connections, and the sources of its news.
 
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,6 +10,7 @@
 use coppercart::settings::Settings;
 use millethook_connect::Begins;
 use millethook_connect::pool::Limits;
+use serde_json::Value;
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, mpsc, watch};
@@ -59,13 +61,14 @@
     /// Takes requests.
     pub driver: Rc<Driver>,
     /// The names that stand on sockets for the module's numbers.
-    pub names: Arc<Names>,
+    pub names: RefCell<Arc<Names>>,
     /// What it has done so far.
     pub figures: Rc<Figures>,
     /// The sockets that it may hold.
     pub sockets: Rc<Sockets>,
-    /// The longest deadline of a class.
-    pub longest_deadline: Duration,
+    longest_deadline: Cell<Duration>,
+    /// The names of settings that were in force before, for as long as something goes by them.
+    before: RefCell<Vec<Arc<Names>>>,
     tried: Rc<Notify>,
     discovery: Option<watch::Sender<SocketAddr>>,
     peers: Option<Rc<Peers>>,
@@ -102,8 +105,7 @@
             },
         );
         let how = config.settings.discovery;
-        let deadlines = config.settings.classes.iter().map(|c| c.deadline);
-        let longest_deadline = Duration::from_micros(deadlines.max().unwrap_or_default());
+        let longest_deadline = Duration::from_micros(config.settings.longest(|c| c.deadline));
         let (to_discovery, calls) = mpsc::unbounded_channel();
         let teller = peers.clone().map(|p| p as Rc<dyn PeerSender>);
         let driver = Driver::new(
@@ -137,7 +139,48 @@
         if let Some(peers) = peers.clone() {
             spawn_local(peers.listen(driver.clone()));
         }
-        Ok(Engine { driver, names, figures, sockets, longest_deadline, tried, discovery, peers })
+        Ok(Engine {
+            driver,
+            names: RefCell::new(names),
+            figures,
+            sockets,
+            longest_deadline: Cell::new(longest_deadline),
+            before: RefCell::default(),
+            tried,
+            discovery,
+            peers,
+        })
+    }
+
+    /// The longest deadline of a class that was ever in force: requests of it may be open.
+    pub fn longest_deadline(&self) -> Duration {
+        self.longest_deadline.get()
+    }
+
+    /// Takes new settings, of which `raw` is the object that they were read from. Requests that are open,
+    /// and those whose front still holds the names from before, go on under the settings that they came
+    /// under.
+    ///
+    /// # Errors
+    /// Names the key that makes no sense; nothing has changed then.
+    pub fn retune(&self, new: Settings, raw: &Value) -> Result<Arc<Names>, String> {
+        let mut before = self.before.borrow_mut();
+        before.retain(|names| Arc::strong_count(names) > 1);
+        // Danger: a request whose body is still coming names its class by its place, and the decisions
+        // have not heard of it yet.
+        let present = self.names.borrow().clone();
+        let held = |place: usize| {
+            let names = before.iter().chain([&present]);
+            names.flat_map(|names| names.classes.values()).any(|class| class.index == place)
+        };
+        let settings = self.driver.settings_with(new, held);
+        let names = Arc::new(Names::new(&settings, raw)?);
+        let longest = Duration::from_micros(settings.longest(|c| c.deadline));
+        self.longest_deadline.set(longest.max(self.longest_deadline.get()));
+        self.driver.retune(settings);
+        self.figures.renamed(&names);
+        before.push(self.names.replace(names.clone()));
+        Ok(names)
     }
 
     /// Waits until discovery has first been tried.
--- a/crates/millethook-engine/src/names.rs
+++ b/crates/millethook-engine/src/names.rs
@@ -67,7 +67,7 @@
             columns: settings.report.columns.clone(),
             ..Names::default()
         };
-        for (index, class) in settings.classes.iter().enumerate() {
+        for (index, class) in settings.classes.iter().enumerate().filter(|(_, c)| !c.retired) {
             let of = ClassName {
                 index,
                 repeat: class.repeat,
--- a/crates/millethook-http/src/ingress.rs
+++ b/crates/millethook-http/src/ingress.rs
@@ -191,7 +191,7 @@
 /// The side of the sidecar that clients see.
 pub struct Ingress {
     driver: Rc<Driver>,
-    names: Arc<Names>,
+    names: RefCell<Arc<Names>>,
     sockets: Rc<Sockets>,
     bytes: Arc<budget::Bytes>,
     ids: Rc<OpenIds>,
@@ -221,7 +221,7 @@
         Rc::new(Ingress {
             ids,
             driver,
-            names,
+            names: RefCell::new(names),
             sockets,
             bytes,
             clients: RefCell::default(),
@@ -253,6 +253,11 @@
         self.tried.set(true);
     }
 
+    /// Requests that come from now on are read by these names.
+    pub fn renamed(&self, names: Arc<Names>) {
+        self.names.replace(names);
+    }
+
     /// From now on each answer is the last on its connection.
     pub fn drain(&self) {
         self.draining.set(true);
@@ -461,11 +466,12 @@
             return Ok(Err(StatusCode::BAD_REQUEST));
         }
         let (method, uri, headers) = (&head.method, &head.uri, &head.headers);
-        let (asked, id) =
-            match parse_head(&self.names, method, uri, headers, HeadOverrides::default()) {
-                Ok(asked) => asked,
-                Err(invalid) => return Ok(Err(invalid.status())),
-            };
+        // Held until the request is taken: while it is, its class keeps its place.
+        let names = self.names.borrow().clone();
+        let (asked, id) = match parse_head(&names, method, uri, headers, HeadOverrides::default()) {
+            Ok(asked) => asked,
+            Err(invalid) => return Ok(Err(invalid.status())),
+        };
         let Some(claim) = self.ids.claim(id.as_bytes()) else {
             return Ok(Err(StatusCode::CONFLICT));
         };
@@ -479,6 +485,7 @@
         claim.keep();
         let spec = answer::spec(head, &asked, body, account);
         let mut ticket = self.driver.request(asked, spec);
+        drop(names);
         Ok(Ok(ticket.reply().await))
     }
 }
--- a/crates/millethook/src/thread.rs
+++ b/crates/millethook/src/thread.rs
@@ -104,7 +104,7 @@
         Ok(engine) => Rc::new(engine),
         Err(e) => return tracing::error!("no engine: {e}"),
     };
-    let ids = OpenIds::new(engine.longest_deadline);
+    let ids = OpenIds::new(engine.longest_deadline());
     let ready = async {
         engine.discovery_tried().await;
         engine.driver.first_listed().await;
--- a/crates/plankvale/src/config.rs
+++ b/crates/plankvale/src/config.rs
@@ -46,8 +46,13 @@
     pub settings: Settings,
     /// The names that stand on sockets for the module's numbers.
     pub names: Names,
+    /// All of the file.
+    pub raw: Value,
 }
 
+/// What a file may lack though the one before it had it.
+const MAY_GO: [&str; 2] = ["known", "begins"];
+
 #[derive(Deserialize)]
 struct File {
     name: Option<String>,
@@ -101,6 +106,7 @@
     /// Reads a configuration; `env` holds the name and the addresses as the variables have them.
     fn from_json(text: &[u8], env: [Option<String>; 3]) -> Result<Config, String> {
         let file: File = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+        let raw: Value = serde_json::from_slice(text).map_err(|e| e.to_string())?;
         let [name, listen, discovery] = env;
         let name = agreed("name", file.name, "LB_NAME", name)?;
         let listen = agreed("listen", file.listen, "LB_LISTEN", listen)?;
@@ -141,8 +147,63 @@
             begins: begins.map_err(|e| format!("begins: {e}"))?,
             settings,
             names,
+            raw,
         })
     }
+
+    /// Whether it has all that the one in force, `before`, has.
+    ///
+    /// Guards against files that were cut or written by half: much of a configuration has a default, and
+    /// one that lost its `limits` would silently run with others. It does harm to who wants a default
+    /// back by leaving a key out; the key is named, and can be written with its default.
+    ///
+    /// # Errors
+    /// Names the first key that is missing.
+    pub fn complete(&self, before: &Value) -> Result<(), String> {
+        let (Value::Object(before), Value::Object(now)) = (before, &self.raw) else {
+            return Err("an object expected".into());
+        };
+        for (key, before) in before.iter().filter(|(key, _)| !MAY_GO.contains(&key.as_str())) {
+            match now.get(key) {
+                Some(now) => has_all_of(key, before, now)?,
+                None => return Err(format!("{key}: expected, as in the configuration in force")),
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Whether `now` has each key that `before` has. Of a list, each object has to have what all objects of the
+/// list before had.
+fn has_all_of(key: &str, before: &Value, now: &Value) -> Result<(), String> {
+    match (before, now) {
+        (Value::Object(before), Value::Object(now)) => {
+            for (name, before) in before {
+                let key = format!("{key}.{name}");
+                match now.get(name) {
+                    Some(now) => has_all_of(&key, before, now)?,
+                    None => {
+                        return Err(format!("{key}: expected, as in the configuration in force"));
+                    }
+                }
+            }
+            Ok(())
+        }
+        (Value::Array(before), Value::Array(now)) => {
+            let mut all = before.iter().filter_map(Value::as_object).cloned();
+            let Some(mut common) = all.next() else { return Ok(()) };
+            for other in all {
+                common.retain(|name, _| other.contains_key(name));
+            }
+            let common = Value::Object(common);
+            let mut each = now.iter().enumerate();
+            each.try_for_each(|(i, now)| has_all_of(&format!("{key}[{i}]"), &common, now))
+        }
+        (Value::Object(_) | Value::Array(_), _) => {
+            Err(format!("{key}: another kind of value expected, as in the configuration in force"))
+        }
+        _ => Ok(()),
+    }
 }
 
 fn address(key: &str, text: &str) -> Result<SocketAddr, String> {
--- a/crates/plankvale/src/lib.rs
+++ b/crates/plankvale/src/lib.rs
@@ -20,6 +20,7 @@
 use millethook_handover::inherited;
 use millethook_http::guard::OpenIds;
 use millethook_http::ingress::Ingress;
+use serde_json::Value;
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -37,8 +38,8 @@
 /// How long a process beside another one waits for a list of servers before it accepts clients.
 const UNLISTED: Duration = Duration::from_secs(1);
 
-/// A change of the configuration, as SIGHUP brings it. None: the file was not sound.
-pub type Reload = Option<Config>;
+/// A change of the configuration, as SIGHUP brings it, or what is wrong with the file.
+pub type Reload = Result<Box<Config>, String>;
 
 /// Runs the sidecar until `stop` is done and all that was taken is answered. `reloads` brings the
 /// configurations that come later. An error names the address that could not be had.
@@ -74,16 +75,23 @@
     };
     let engine = Rc::new(Engine::start(engine, sockets).await?);
     let bytes = Bytes::new((config.memory as f64 * BODIES) as usize);
-    let ids = OpenIds::new(engine.longest_deadline);
+    let ids = OpenIds::new(engine.longest_deadline());
     let ingress = Ingress::new(
         engine.driver.clone(),
-        engine.names.clone(),
+        engine.names.borrow().clone(),
         engine.sockets.clone(),
         bytes,
         ids,
     );
     let reloaded = Rc::default();
-    spawn_local(follow(reloads, inert, engine.clone(), Rc::clone(&reloaded)));
+    let follower = Follower {
+        inert,
+        whole: config.raw,
+        engine: engine.clone(),
+        ingress: ingress.clone(),
+        reloaded: Rc::clone(&reloaded),
+    };
+    spawn_local(follower.follow(reloads));
     let operated = Rc::new(Operated::new(ingress.clone(), engine.clone(), reloaded));
     if let Some(admin) = admin {
         let at = admin.local_addr().map_err(|e| format!("admin: {e}"))?;
@@ -113,13 +121,17 @@
     operated.stopping();
     if let Some(successor) = seat.and_then(|seat| seat.successor()) {
         tracing::info!("{}: a successor goes on with clients' connections", config.name);
-        shutdown::hand_over(ingress, Rc::new(succession::Next(successor)), engine.longest_deadline)
-            .await;
+        shutdown::hand_over(
+            ingress,
+            Rc::new(succession::Next(successor)),
+            engine.longest_deadline(),
+        )
+        .await;
         return Ok(());
     }
     tokio::select! {
         () = accepting => {}
-        () = shutdown::drain(ingress, engine.longest_deadline) => {}
+        () = shutdown::drain(ingress, engine.longest_deadline()) => {}
     }
     Ok(())
 }
@@ -144,24 +156,42 @@
     }
 }
 
-/// Takes on new configurations: where discovery is, and where the other sidecars are.
-async fn follow(
-    mut reloads: mpsc::Receiver<Reload>,
+/// Takes on new configurations: settings, where discovery is, and where the other sidecars are.
+struct Follower {
     inert: Inert,
+    /// The whole configuration in force.
+    whole: Value,
     engine: Rc<Engine>,
+    ingress: Rc<Ingress>,
     reloaded: Rc<Reloaded>,
-) {
-    while let Some(config) = reloads.recv().await {
-        let Some(config) = config else {
-            reloaded.rejected.set(reloaded.rejected.get() + 1);
-            continue;
-        };
-        reloaded.applied.set(reloaded.applied.get() + 1);
-        if Inert::of(&config) != inert {
+}
+
+impl Follower {
+    async fn follow(mut self, mut reloads: mpsc::Receiver<Reload>) {
+        while let Some(config) = reloads.recv().await {
+            let count = match config.and_then(|config| self.take(*config)) {
+                Ok(()) => &self.reloaded.applied,
+                Err(e) => {
+                    tracing::error!("the configuration stays as it was: {e}");
+                    &self.reloaded.rejected
+                }
+            };
+            count.set(count.get() + 1);
+        }
+    }
+
+    /// Takes one configuration, or nothing of it.
+    fn take(&mut self, config: Config) -> Result<(), String> {
+        config.complete(&self.whole).map_err(|e| format!("LB_CONFIG: {e}"))?;
+        if Inert::of(&config) != self.inert {
             tracing::warn!("new configuration: sockets and limits change at the next start only");
         }
+        let names = self.engine.retune(config.settings, &config.raw["settings"])?;
+        self.ingress.renamed(names);
         tracing::info!("new configuration: discovery at {}", config.discovery);
-        engine.moved(config.discovery, config.peers, config.peers_all);
+        self.engine.moved(config.discovery, config.peers, config.peers_all);
+        self.whole = config.raw;
+        Ok(())
     }
 }
 
--- a/crates/plankvale/src/main.rs
+++ b/crates/plankvale/src/main.rs
@@ -41,14 +41,7 @@
 /// Reads the configuration anew at each SIGHUP. One that is not sound leaves the old one in force.
 async fn reload(mut changed: Signal, to_sidecar: mpsc::Sender<Reload>) {
     while changed.recv().await.is_some() {
-        let config = match Config::from_env() {
-            Ok(config) => Some(config),
-            Err(e) => {
-                tracing::error!("the configuration stays as it was: {e}");
-                None
-            }
-        };
-        if to_sidecar.send(config).await.is_err() {
+        if to_sidecar.send(Config::from_env().map(Box::new)).await.is_err() {
             return;
         }
     }
--- a/crates/plankvale/tests/sidecar/reload.rs
+++ b/crates/plankvale/tests/sidecar/reload.rs
@@ -82,3 +82,125 @@
     within("the new list", || sidecar.served_by() == "a");
     assert!(sidecar.child.try_wait().unwrap().is_none());
 }
+
+/// A configuration whose settings are changed so.
+fn retuned(agent: &Agent, change: impl FnOnce(&mut serde_json::Value)) -> String {
+    let mut whole = config(agent.address, |c| c["admin"] = json!("127.0.0.1:0"));
+    change(&mut whole);
+    whole.to_string()
+}
+
+#[test]
+fn classes_come_and_go_and_open_requests_keep_their_rules() {
+    let (asked, told) = channel();
+    let (held, log, _) = servers(2, move |conn, seen| {
+        if seen.message.first.contains("/order/held") {
+            let (go, going) = channel::<()>();
+            let _ = asked.send(go);
+            let _ = going.recv_timeout(BOUND);
+            // Whether it ran, nobody can tell.
+            return None;
+        }
+        let mut conn = conn;
+        conn.send(ok("served"));
+        Some(conn)
+    });
+    let agent = Agent::start(hosts(&held));
+    let sidecar = Sidecar::start(&serde_json::from_str(&retuned(&agent, |_| {})).unwrap());
+    let mut busy = sidecar.client();
+    busy.send(unsafe_with("x").replace("/order", "/order/held"));
+    let go = next(&told);
+    sidecar.reload(&retuned(&agent, |c| {
+        let classes = c["settings"]["classes"].as_array_mut().unwrap();
+        let mut page = classes[0].clone();
+        page["name"] = json!("page");
+        classes[2]["repeat"] = json!("idempotent");
+        classes.push(page);
+        classes.remove(0);
+    }));
+    within("taken", || sidecar.figure("sidecar.sighup_applied") == 1);
+    // The open order is still one that must not run twice.
+    go.send(()).unwrap();
+    assert_eq!(busy.message().unwrap().status(), 502);
+    let of = |class: &str| safe().replace("/look", class);
+    assert_eq!(sidecar.ask(of("/page")).status(), 200);
+    assert_eq!(sidecar.ask(of("/order")).status(), 200);
+    assert_eq!(sidecar.ask(of("/look")).status(), 404);
+    assert_eq!(sidecar.ask(unsafe_with("x")).status(), 405);
+    assert_eq!(sidecar.ask(keyed()).status(), 200);
+    assert_eq!(sidecar.figure("sidecar.succeeded.order"), 1);
+    assert_eq!(sidecar.figure("sidecar.aborted.order"), 1);
+    assert_eq!(log.count(), 4);
+}
+
+/// A head that was read under the old settings, whose body ends after the new ones hold.
+#[test]
+fn a_request_half_here_is_of_the_settings_under_which_it_began() {
+    let (servers, log, _) = servers(1, |mut conn, seen| {
+        conn.send(ok(std::str::from_utf8(&seen.message.body).unwrap()));
+        Some(conn)
+    });
+    let agent = Agent::start(hosts(&servers));
+    let sidecar = Sidecar::start(&serde_json::from_str(&retuned(&agent, |_| {})).unwrap());
+    let request = unsafe_with("body");
+    let (head, rest) = request.split_at(request.len() - 2);
+    let mut client = sidecar.client();
+    client.send(head);
+    // Its head has been read once a request behind it has been served.
+    assert_eq!(sidecar.ask(safe()).status(), 200);
+    for n in 0..3 {
+        sidecar.reload(&retuned(&agent, |c| {
+            c["settings"]["classes"][2]["name"] = json!(format!("other-{n}"));
+        }));
+        within("taken", || sidecar.figure("sidecar.sighup_applied") == n + 1);
+    }
+    client.send(rest);
+    assert_eq!(client.message().unwrap().body, b"body");
+    assert_eq!(log.count(), 2);
+    assert_eq!(sidecar.figure("sidecar.succeeded.order"), 1);
+}
+
+#[test]
+fn nothing_is_taken_from_a_file_that_is_not_whole() {
+    let agent = Agent::start(hosts(&[Server::named("a")]));
+    let sidecar = Sidecar::start(&serde_json::from_str(&retuned(&agent, |_| {})).unwrap());
+    // Each of them would also drop a class.
+    let broken = |spoil: fn(&mut serde_json::Value)| {
+        retuned(&agent, |c| {
+            c["settings"]["classes"].as_array_mut().unwrap().remove(1);
+            spoil(c);
+        })
+    };
+    fn remove(of: &mut serde_json::Value, key: &str) {
+        of.as_object_mut().unwrap().remove(key).expect("it was there");
+    }
+    let files = [
+        broken(|c| c["settings"]["classes"][0]["deadline"] = json!(0)),
+        broken(|c| c["settings"]["classes"][1]["deadline"] = json!(-5)),
+        broken(|c| c["settings"]["classes"][0]["deadline"] = json!("soon")),
+        broken(|c| c["settings"]["limits"]["maxAttempts"] = json!(0)),
+        broken(|c| c["settings"]["limits"]["maxAttempts"] = json!(-1)),
+        broken(|c| c["settings"]["limits"]["maxAttempts"] = json!(2.5)),
+        broken(|c| remove(&mut c["settings"]["limits"], "maxAttempts")),
+        broken(|c| remove(&mut c["settings"], "limits")),
+        broken(|c| remove(&mut c["settings"]["classes"][0], "name")),
+        broken(|c| remove(&mut c["settings"]["classes"][1], "window")),
+        broken(|c| remove(&mut c["settings"], "tenants")),
+        broken(|c| remove(c, "discovery")),
+        broken(|c| c["settings"]["classes"] = json!([])),
+        broken(|c| c["settings"]["classes"] = json!({})),
+        broken(|c| c["settings"]["classes"][0]["name"] = json!("order")),
+        String::new(),
+        "null".to_owned(),
+        retuned(&agent, |_| {})[..300].to_owned(),
+    ];
+    for (n, file) in files.iter().enumerate() {
+        sidecar.reload(file);
+        within("turned down", || sidecar.figure("sidecar.sighup_rejected") == n as u64 + 1);
+        assert_eq!(sidecar.ask(keyed()).status(), 200, "{file}");
+    }
+    assert_eq!(sidecar.figure("sidecar.sighup_applied"), 0);
+    sidecar.reload(&broken(|_| {}));
+    within("taken", || sidecar.figure("sidecar.sighup_applied") == 1);
+    assert_eq!(sidecar.ask(keyed()).status(), 404);
+}
