Pass bodies and answers of up to 32 MiB on as they come, in little memory

The first 64 KiB are held, so an attempt that breaks before more went out can go to another server. Then the rest passes through a channel of one piece to the attempt that took it; the decisions hear of that as of a stream's first byte and send nothing more. The time of such a request runs from its last byte. Clients are held to a least rate, counted only while they are waited for. The same in the library.

Bodies on disk: the platform's disk is memory.

A dozen bodies of 8 MiB at once each way: under 32 MB resident, in a test.

--- a/crates/millethook-connect/src/exchange.rs
+++ b/crates/millethook-connect/src/exchange.rs
@@ -29,6 +29,8 @@
     begins: Begins,
     head: usize,
     body: usize,
+    /// More of the body follows than is counted by now.
+    open: bool,
     written: usize,
     /// The byte at the commit point waits for [`Exchange::commit`].
     held: bool,
@@ -46,6 +48,7 @@
             begins,
             head,
             body,
+            open: false,
             written: 0,
             held,
             early: false,
@@ -54,6 +57,28 @@
         }
     }
 
+    /// More of the body follows: [`Exchange::extend`] counts it as it comes, and the request is not whole
+    /// before [`Exchange::finish`].
+    pub fn follow(&mut self) {
+        self.open = true;
+    }
+
+    /// Whether all that there is of the request is out, and more may follow.
+    pub fn wants_more(&self) -> bool {
+        let out = self.written == self.head + self.body;
+        self.open && out && !self.held && !self.early && !self.write_failed
+    }
+
+    /// So many bytes more of the body are there.
+    pub fn extend(&mut self, n: usize) {
+        self.body += n;
+    }
+
+    /// No more bytes follow.
+    pub fn finish(&mut self) {
+        self.open = false;
+    }
+
     /// The bytes that may go out now, counted from the head's first; empty if there are none.
     pub fn writable(&self) -> (usize, usize) {
         let total = self.head + self.body;
@@ -88,7 +113,10 @@
 
     /// How far the request has come.
     pub fn progress(&self) -> Progress {
-        Progress::of(self.written, self.head, self.body)
+        match Progress::of(self.written, self.head, self.body) {
+            Progress::Whole if self.open => Progress::PartOfBody,
+            progress => progress,
+        }
     }
 
     /// Whether the request may have run, if nothing more happens.
@@ -245,6 +273,27 @@
         assert_eq!(Exchange::new(Begins::Whole, 10, 0, true).writable(), (0, 9));
     }
 
+    #[test]
+    fn a_body_that_follows_is_whole_at_its_end_only() {
+        for (begins, early) in [(Begins::Head, true), (Begins::Whole, false)] {
+            let mut exchange = Exchange::new(begins, 10, 3, false);
+            exchange.follow();
+            exchange.wrote(13);
+            assert!(exchange.wants_more());
+            assert_eq!(exchange.progress(), Progress::PartOfBody);
+            assert_eq!(exchange.execution() == Execution::MayHaveRun, early);
+            exchange.extend(4);
+            assert!(!exchange.wants_more());
+            assert_eq!(exchange.writable(), (13, 17));
+            exchange.wrote(4);
+            assert!(exchange.wants_more());
+            exchange.finish();
+            assert_eq!(exchange.progress(), Progress::Whole);
+            assert_eq!(exchange.execution(), Execution::MayHaveRun);
+            assert_eq!(head(exchange.read(&mut BytesMut::from(OK))), Some(200));
+        }
+    }
+
     #[test]
     fn bytes_beyond_the_answer_end_a_connection() {
         for (text, reusable) in [(OK.to_owned(), true), (format!("{OK}x"), false)] {
--- a/crates/millethook-connect/src/request.rs
+++ b/crates/millethook-connect/src/request.rs
@@ -18,12 +18,47 @@
     names_host: bool,
     body: Vec<Bytes>,
     body_len: usize,
+    chunked: bool,
 }
 
+/// How the length of a body is told to servers (RFC 9112, section 6).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// All of it is here.
+    Whole,
+    /// More follows, up to so many bytes in all.
+    Length(u64),
+    /// More follows, and nobody knows how much.
+    Chunked,
+}
+
+/// One chunk of a body, in three pieces.
+pub fn chunk(data: Bytes) -> [Bytes; 3] {
+    let size = Bytes::from(format!("{:x}\r\n", data.len()));
+    [size, data, Bytes::from_static(b"\r\n")]
+}
+
+/// What ends a body that is sent in chunks.
+pub const LAST_CHUNK: Bytes = Bytes::from_static(b"0\r\n\r\n");
+
 impl EncodedRequest {
     /// Encodes a request. Fields that frame a message are left out of `headers` and made anew: the
     /// body is whole, and its length is known.
     pub fn new(method: &Method, target: &Uri, headers: &HeaderMap, body: Vec<Bytes>) -> Self {
+        Self::framed(method, target, headers, body, Framing::Whole)
+    }
+
+    /// The same for a body of which `body` may be the first part only.
+    pub fn framed(
+        method: &Method,
+        target: &Uri,
+        headers: &HeaderMap,
+        body: Vec<Bytes>,
+        framing: Framing,
+    ) -> Self {
+        let chunked = framing == Framing::Chunked;
+        let body: Vec<Bytes> =
+            if chunked { body.into_iter().flat_map(chunk).collect() } else { body };
         let body_len = body.iter().map(Bytes::len).sum();
         let path = target.path_and_query().map_or("/", |path| path.as_str());
         let fields: usize = headers.iter().map(|(n, v)| n.as_str().len() + v.len() + 4).sum();
@@ -40,11 +75,14 @@
             }
         }
         // RFC 9110, section 8.6: one without a body says so where its method could have one.
-        if body_len > 0 || *method != Method::GET {
-            // Writing to a vector does not fail.
-            let _ = write!(head, "content-length: {body_len}\r\n");
-        }
-        EncodedRequest { head, names_host: headers.contains_key(HOST), body, body_len }
+        // Writing to a vector does not fail.
+        let _ = match framing {
+            Framing::Whole if body_len == 0 && *method == Method::GET => Ok(()),
+            Framing::Whole => write!(head, "content-length: {body_len}\r\n"),
+            Framing::Length(all) => write!(head, "content-length: {all}\r\n"),
+            Framing::Chunked => write!(head, "transfer-encoding: chunked\r\n"),
+        };
+        EncodedRequest { head, names_host: headers.contains_key(HOST), body, body_len, chunked }
     }
 
     /// The head of one attempt: with its own `x-time-left-ms`, and with `host` where the request
@@ -61,7 +99,12 @@
         let _ = write!(out, "x-time-left-ms: {left_ms}\r\n\r\n");
     }
 
-    /// Bytes of the body.
+    /// Whether the body goes out in chunks.
+    pub fn is_chunked(&self) -> bool {
+        self.chunked
+    }
+
+    /// Bytes of the body that are here, chunks' own bytes among them.
     pub fn body_len(&self) -> usize {
         self.body_len
     }
@@ -131,6 +174,25 @@
         assert!(text(&post, "x").contains("content-length: 0\r\n"));
     }
 
+    #[test]
+    fn a_body_that_follows_tells_its_length_or_comes_in_chunks() {
+        let uri = Uri::from_static("/keep");
+        let framed = |framing| {
+            let body = vec![Bytes::from_static(b"ab"), Bytes::from_static(b"cde")];
+            EncodedRequest::framed(&Method::POST, &uri, &HeaderMap::new(), body, framing)
+        };
+        let length = framed(Framing::Length(90_000));
+        assert!(text(&length, "x").contains("content-length: 90000\r\n"));
+        assert_eq!(length.body_len(), 5);
+        let chunked = framed(Framing::Chunked);
+        assert!(text(&chunked, "x").contains("transfer-encoding: chunked\r\n"));
+        assert!(!text(&chunked, "x").contains("content-length"));
+        let mut out = [IoSlice::new(&[]); PIECES];
+        let n = chunked.slices(&[], (0, chunked.body_len()), &mut out);
+        let got: Vec<u8> = out[..n].iter().flat_map(|s| s.to_vec()).collect();
+        assert_eq!(got, b"2\r\nab\r\n3\r\ncde\r\n");
+    }
+
     #[test]
     fn slices_cover_any_range_once() {
         let body = vec![Bytes::from_static(b"ab"), Bytes::new(), Bytes::from_static(b"cde")];
--- a/crates/millethook-engine/src/driver/attempts.rs
+++ b/crates/millethook-engine/src/driver/attempts.rs
@@ -1,6 +1,8 @@
 //! Attempts: from the decision to send one to its outcome.
 
+use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -13,6 +15,7 @@
 use super::Driver;
 use super::request::{Reply, StreamingReply};
 use crate::figures::Disposition;
+use crate::upload::Upload;
 use crate::upstream::{AttemptOutcome, AttemptRequest, Head, StreamingResponse};
 
 /// A server that stops within an answer for so long will not go on with it.
@@ -58,30 +61,66 @@
         cancelled: oneshot::Receiver<()>,
     ) {
         let sent = Instant::now();
-        let elapsed = || sent.elapsed().as_micros() as Micros;
+        // What a server did in its caller's time says nothing of the server.
+        let elapsed = |spec: &AttemptRequest| {
+            let ended = spec.upload.as_ref().and_then(Upload::ended_at);
+            ended.map_or(sent, |ended| ended.max(sent)).elapsed().as_micros() as Micros
+        };
         let end =
             |outcome| AttemptOutcome::End { outcome, report: LoadReport::default(), answer: None };
-        let reached = tokio::select! {
-            biased;
-            reached = self.upstream.attempt(server, dial, &spec, sent + wait) => reached,
-            // Given up by the module, or because nothing can come of it any more.
-            _ = cancelled => end(Outcome::Cancelled),
-            () = tokio::time::sleep(wait) => end(Outcome::TimedOut),
+        let reached = {
+            let upload = spec.upload.as_ref();
+            let mut attempt = pin!(self.upstream.attempt(server, dial, &spec, sent + wait));
+            let mut passed_on = upload.is_none();
+            let attempt = poll_fn(|cx| {
+                let reached = attempt.as_mut().poll(cx);
+                // From the first piece that is not held on the request belongs to this attempt.
+                if !passed_on && upload.is_some_and(Upload::is_taken) {
+                    passed_on = true;
+                    self.passes_on(id, n);
+                }
+                reached
+            });
+            let late = async {
+                match upload {
+                    Some(upload) => upload.expired().await,
+                    None => tokio::time::sleep(wait).await,
+                }
+            };
+            tokio::select! {
+                biased;
+                reached = attempt => reached,
+                // Given up by the module, or because nothing can come of it any more.
+                _ = cancelled => end(Outcome::Cancelled),
+                () = late => end(Outcome::TimedOut),
+            }
         };
+        let latency = elapsed(&spec);
         drop(spec);
         match reached {
             AttemptOutcome::End { outcome, report, answer } => {
-                self.over(id, n, server, outcome, elapsed(), report, answer);
+                self.over(id, n, server, outcome, latency, report, answer);
             }
             AttemptOutcome::Streaming(long) => {
                 let report = long.report.clone();
-                let latency = elapsed();
                 let outcome = self.pass_on(id, n, *long).await;
                 self.over(id, n, server, outcome, latency, report, None);
             }
         }
     }
 
+    /// The body of a request passes to this attempt: it can be sent to no other one.
+    fn passes_on(self: &Rc<Driver>, id: RequestId, attempt: usize) {
+        let mine = {
+            let mut core = self.core.borrow_mut();
+            let request = core.requests.get_mut(&id);
+            request.is_some_and(|r| r.uploading.replace(attempt).is_none())
+        };
+        if mine {
+            self.event(Event::FirstByte { id, attempt });
+        }
+    }
+
     /// Passes a long answer on as it comes, at the client's pace.
     async fn pass_on(
         self: &Rc<Driver>,
--- a/crates/millethook-engine/src/driver/mod.rs
+++ b/crates/millethook-engine/src/driver/mod.rs
@@ -194,6 +194,7 @@
                 reply: Some(reply),
                 spec: Some(Rc::new(spec)),
                 attempts: Vec::new(),
+                uploading: None,
                 streaming: None,
                 touched: false,
             };
@@ -221,6 +222,11 @@
             };
             request.reply = None;
             request.spec = None;
+            // The decisions call off nothing whose bytes pass from side to side.
+            let uploading = request.uploading.and_then(|n| request.attempts.get_mut(n)?.take());
+            if let Some(cancel) = uploading {
+                let _ = cancel.send(());
+            }
             if request.streaming.is_some() {
                 // The attempt itself finds nobody to pass the answer on to.
                 return;
--- a/crates/millethook-engine/src/driver/request.rs
+++ b/crates/millethook-engine/src/driver/request.rs
@@ -88,6 +88,8 @@
     pub spec: Option<Rc<AttemptRequest>>,
     /// What calls off each attempt that is out.
     pub attempts: Vec<Option<oneshot::Sender<()>>>,
+    /// The attempt to which the body is being passed on.
+    pub uploading: Option<usize>,
     /// The attempt whose long answer is being passed on.
     pub streaming: Option<usize>,
     /// An attempt that is over may have run.
--- a/crates/millethook-engine/src/lib.rs
+++ b/crates/millethook-engine/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod news;
 pub mod peers;
 pub mod stream;
+pub mod upload;
 pub mod upstream;
 
 pub use engine::{Engine, EngineConfig, PeerConfig};
--- a/crates/millethook-engine/src/upstream/attempt.rs
+++ b/crates/millethook-engine/src/upstream/attempt.rs
@@ -4,7 +4,7 @@
 use std::io::IoSlice;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
@@ -12,10 +12,12 @@
 use http::{HeaderMap, Method, StatusCode, Uri};
 use millethook_connect::exchange::turns_away;
 use millethook_connect::facts::Caught;
-use millethook_connect::request::PIECES;
+use millethook_connect::request::{LAST_CHUNK, PIECES, chunk};
 use millethook_connect::{
     Begins, EncodedRequest, Event, Exchange, Execution, Failure, Progress, ResponseHead,
 };
+use smallvec::SmallVec;
+use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
@@ -23,9 +25,13 @@
 use super::{StreamingResponse, Upstream};
 use crate::budget::ByteReservation;
 use crate::figures::Figures;
+use crate::upload::{LONGEST_UPLOAD, Piece, Upload};
 
 /// Answers up to this size are read whole before their outcome is told.
 pub const WHOLE: usize = 64 << 10;
+/// Longer answers are passed on up to this size, as long as a body may be; those of classes that stream have
+/// no bound. Danger: spoilt heads announce gigabytes, and what follows is noise.
+pub(super) const LONGEST_ANSWER: u64 = LONGEST_UPLOAD;
 /// How long an answer that has begun may stand still. It is written in one go, so what stops is cut
 /// short or was given too great a length. Danger: over a line that loses packets an answer may
 /// pause for as long as its system takes to send them again, some 200 ms.
@@ -82,6 +88,8 @@
     pub aim: Duration,
     /// What the body takes of the budget.
     pub account: ByteReservation,
+    /// What follows the part of the body that is held.
+    pub upload: Option<Upload>,
 }
 
 impl AttemptRequest {
@@ -95,6 +103,7 @@
             streaming: false,
             aim: patience * HANDSHAKE_SHARE,
             account: ByteReservation::default(),
+            upload: None,
         }
     }
 }
@@ -134,6 +143,24 @@
     message: Option<(Rc<AttemptRequest>, Vec<u8>)>,
     /// Told when all of it is out. None for a page of the server's own.
     figures: Option<Rc<Figures>>,
+    /// The rest of a body, once this attempt has taken it.
+    following: Option<Following>,
+}
+
+/// The rest of a body on its way.
+struct Following {
+    rest: mpsc::Receiver<Piece>,
+    /// The part of it that is being written, and where in the message that begins.
+    pieces: SmallVec<[Bytes; 3]>,
+    at: usize,
+}
+
+/// What has become of the rest of a body.
+enum Followed {
+    /// There is more to write, or nothing ever more.
+    Changed,
+    /// The caller has broken off, or another attempt has the rest.
+    Gone,
 }
 
 enum Step {
@@ -148,12 +175,26 @@
     /// Danger: a server that answers early may read the body all the same, and may need it to end its
     /// answer: what is left of the request goes out while the answer comes in.
     fn poll_step(&mut self, cx: &mut Context<'_>) -> Poll<Result<Step, Failure>> {
-        let Running { lease, exchange, message, figures } = self;
+        let Running { lease, exchange, message, figures, following } = self;
         let Some(connection) = lease.connection() else {
             return Poll::Ready(Err(Failure::Closed));
         };
         if let Some((request, head)) = message {
-            write(cx, connection, exchange, &request.encoded, head);
+            loop {
+                write(cx, connection, exchange, &request.encoded, head, following);
+                if !exchange.wants_more() {
+                    break;
+                }
+                match poll_follow(cx, exchange, request, following) {
+                    Poll::Ready(Followed::Changed) => {}
+                    // An answer that came early is whole without the rest of the request.
+                    Poll::Ready(Followed::Gone) if exchange.answer_begun(&connection.buf) => {
+                        exchange.write_failed();
+                    }
+                    Poll::Ready(Followed::Gone) => return Poll::Ready(Err(Failure::Closed)),
+                    Poll::Pending => break,
+                }
+            }
             if exchange.progress() == Progress::Whole {
                 *message = None;
                 if let Some(figures) = figures {
@@ -198,6 +239,13 @@
         }
     }
 
+    /// Whether the caller has broken off within a body that is being passed on.
+    fn caller_gone(&self) -> bool {
+        let following = self.following.as_ref();
+        following.is_some_and(|f| f.rest.is_closed() && f.rest.is_empty())
+            && self.exchange.wants_more()
+    }
+
     fn begun(&mut self) -> bool {
         let Running { lease, exchange, .. } = self;
         lease.connection().is_some_and(|connection| exchange.answer_begun(&connection.buf))
@@ -210,6 +258,7 @@
     exchange: &mut Exchange,
     encoded: &EncodedRequest,
     head: &[u8],
+    following: &Option<Following>,
 ) {
     loop {
         let (from, to) = exchange.writable();
@@ -217,7 +266,10 @@
             return;
         }
         let mut slices = [IoSlice::new(&[]); PIECES];
-        let n = encoded.slices(head, (from, to), &mut slices);
+        let n = match following {
+            Some(following) if from >= following.at => following.slices(from, &mut slices),
+            _ => encoded.slices(head, (from, to), &mut slices),
+        };
         match connection.poll_write(cx, &slices[..n]) {
             Poll::Pending => return,
             Poll::Ready(Ok(0) | Err(_)) => exchange.write_failed(),
@@ -226,6 +278,57 @@
     }
 }
 
+impl Following {
+    /// What lies from `from` on.
+    fn slices<'a>(&'a self, from: usize, out: &mut [IoSlice<'a>; PIECES]) -> usize {
+        let (mut at, mut n) = (self.at, 0);
+        for piece in &self.pieces {
+            let skip = from.saturating_sub(at).min(piece.len());
+            if skip < piece.len() {
+                out[n] = IoSlice::new(&piece[skip..]);
+                n += 1;
+            }
+            at += piece.len();
+        }
+        n
+    }
+}
+
+/// Takes the next piece of a body whose caller is still sending it.
+fn poll_follow(
+    cx: &mut Context<'_>,
+    exchange: &mut Exchange,
+    request: &AttemptRequest,
+    following: &mut Option<Following>,
+) -> Poll<Followed> {
+    let (written, _) = exchange.writable();
+    let following = match following {
+        Some(following) => following,
+        None => {
+            let Some(rest) = request.upload.as_ref().and_then(Upload::take_rest) else {
+                return Poll::Ready(Followed::Gone);
+            };
+            following.insert(Following { rest, pieces: SmallVec::new(), at: written })
+        }
+    };
+    let chunked = request.encoded.is_chunked();
+    following.pieces.clear();
+    match ready!(following.rest.poll_recv(cx)) {
+        Some(Piece::Data(data)) if chunked => following.pieces.extend(chunk(data)),
+        Some(Piece::Data(data)) => following.pieces.push(data),
+        Some(Piece::End) => {
+            exchange.finish();
+            if chunked {
+                following.pieces.push(LAST_CHUNK);
+            }
+        }
+        None => return Poll::Ready(Followed::Gone),
+    }
+    following.at = written;
+    exchange.extend(following.pieces.iter().map(Bytes::len).sum());
+    Poll::Ready(Followed::Changed)
+}
+
 impl Upstream {
     /// One attempt at `server`, to be dropped when it is no longer waited for: that ends it on the
     /// connection, too.
@@ -248,6 +351,11 @@
                 Err(running) => running,
             };
             let never_ran = running.exchange.execution() == Execution::NeverRan;
+            // What was passed on cannot be sent once more.
+            let rested = rested.filter(|_| running.following.is_none());
+            if running.caller_gone() {
+                return AttemptOutcome::end(Outcome::Cancelled, none());
+            }
             // What broke is closed before another connection is looked for.
             drop(running);
             match (never_ran, rested) {
@@ -279,10 +387,18 @@
         let mut head = Vec::new();
         request.encoded.head_into(&mut head, left.as_millis() as u64, dial);
         let body = request.encoded.body_len();
-        let exchange = Exchange::new(self.config.begins, head.len(), body, trial.is_some());
+        let mut exchange = Exchange::new(self.config.begins, head.len(), body, trial.is_some());
+        if request.upload.is_some() {
+            exchange.follow();
+        }
         let figures = (!request.own_page).then(|| self.figures.clone());
-        let mut running =
-            Running { lease, exchange, message: Some((request.clone(), head)), figures };
+        let mut running = Running {
+            lease,
+            exchange,
+            message: Some((request.clone(), head)),
+            figures,
+            following: None,
+        };
         let mut event = None;
         if let Some(trial) = trial {
             event = timeout(trial, running.event(false)).await.ok();
@@ -319,9 +435,10 @@
         let mut whole = Collected::default();
         loop {
             let too_long = whole.len() > WHOLE || length.is_some_and(|l| l > WHOLE as u64);
-            if too_long && streaming {
+            let most = if streaming { u64::MAX } else { LONGEST_ANSWER };
+            if too_long && length.is_none_or(|length| length <= most) {
                 let first = whole.take();
-                let long = StreamingResponse::new(head, report, first, running);
+                let long = StreamingResponse::new(head, report, first, running, most);
                 return AttemptOutcome::Streaming(Box::new(long));
             } else if too_long {
                 // Guards against lengths without sense and answers without end: no body is longer
--- a/crates/millethook-engine/src/upstream/streaming.rs
+++ b/crates/millethook-engine/src/upstream/streaming.rs
@@ -21,6 +21,8 @@
     pub report: LoadReport,
     first: Option<Bytes>,
     running: Option<Running>,
+    /// How many bytes more it may have.
+    room: u64,
 }
 
 impl StreamingResponse {
@@ -29,6 +31,7 @@
         report: LoadReport,
         first: Bytes,
         running: Running,
+        most: u64,
     ) -> StreamingResponse {
         let first = Some(first).filter(|first| !first.is_empty());
         let ResponseHead { status, headers, length } = head;
@@ -38,6 +41,7 @@
             report,
             first,
             running: Some(running),
+            room: most,
         }
     }
 
@@ -47,16 +51,20 @@
     /// The connection broke, or brought what is no answer.
     pub async fn next(&mut self) -> Option<Result<Bytes, BrokenOff>> {
         if let Some(first) = self.first.take() {
+            self.room = self.room.saturating_sub(first.len() as u64);
             return Some(Ok(first));
         }
         match self.running.as_mut()?.event(true).await {
-            Ok(Event::Data(piece)) => Some(Ok(piece)),
+            Ok(Event::Data(piece)) if piece.len() as u64 <= self.room => {
+                self.room -= piece.len() as u64;
+                Some(Ok(piece))
+            }
             Ok(Event::End) => {
                 let running = self.running.take()?;
                 running.lease.end(&running.exchange);
                 None
             }
-            Ok(Event::Head(_)) | Err(_) => {
+            Ok(Event::Head(_) | Event::Data(_)) | Err(_) => {
                 self.running = None;
                 Some(Err(BrokenOff))
             }
--- a/crates/millethook-engine/tests/cost.rs
+++ b/crates/millethook-engine/tests/cost.rs
@@ -57,6 +57,7 @@
         streaming: false,
         aim,
         account: ByteReservation::default(),
+        upload: None,
     };
     let head = RequestHead {
         class: 0,
--- a/crates/millethook-http/src/answer.rs
+++ b/crates/millethook-http/src/answer.rs
@@ -9,8 +9,10 @@
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use millethook_connect::EncodedRequest;
+use millethook_connect::request::Framing;
 use millethook_engine::budget::ByteReservation;
 use millethook_engine::driver::{RequestHead, StreamingReply};
+use millethook_engine::upload::Upload;
 use millethook_engine::upstream::{AttemptRequest, Head};
 
 use crate::body::Pieces;
@@ -19,21 +21,26 @@
 /// An answer's body: whole, or passed on as it comes.
 pub type AnswerBody = Either<Full<Bytes>, Pieces>;
 
-/// What servers get, and what is kept for repeats.
+/// What servers get, and what is kept for repeats; `upload` is what follows `body`, if it is not whole.
 pub fn spec(
     head: Parts,
     asked: &RequestHead,
     body: Vec<Bytes>,
     account: ByteReservation,
+    upload: Option<(Upload, Framing)>,
 ) -> AttemptRequest {
     let target = head.uri.path_and_query().cloned().map(hyper::Uri::from).unwrap_or_default();
+    let (upload, framing) = upload.unzip();
+    let framing = framing.unwrap_or(Framing::Whole);
+    let headers = passed_on(head.headers);
     AttemptRequest {
-        encoded: EncodedRequest::new(&head.method, &target, &passed_on(head.headers), body),
+        encoded: EncodedRequest::framed(&head.method, &target, &headers, body, framing),
         own_page: false,
         repeatable: asked.repeatable,
         streaming: asked.streaming,
         aim: asked.aim,
         account,
+        upload,
     }
 }
 
--- a/crates/millethook-http/src/body.rs
+++ b/crates/millethook-http/src/body.rs
@@ -1,59 +1,131 @@
-//! Bodies: those of requests, read whole within a budget, and those of long answers.
+//! Bodies: those of requests, held whole within a budget or passed on as they come, and those of long
+//! answers.
 
+use std::future::Future;
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, SizeHint};
+use millethook_connect::request::Framing;
 use millethook_engine::budget::{ByteReservation, LONGEST_BODY};
 use millethook_engine::driver::StreamingReply;
+use millethook_engine::upload::{Feed, NotTaken};
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 
 /// Bodies are kept in pieces of this size.
 const PIECE: usize = 64 << 10;
 
+/// The least rate, in bytes a second, at which a body may come. Members on weak lines send at 64 kB a
+/// second; a quarter of that is slower than any line that is of use.
+const LEAST_RATE: f64 = 16_000.0;
+/// How long a body may stand still at first, and what it can save up by coming faster. Danger: who sends
+/// half a body and stops holds a connection, and its part of the budget, for so long.
+const GRACE: Duration = Duration::from_millis(1500);
+
 /// Why a request's body could not be read.
 #[derive(Debug)]
 pub enum ReadError<E> {
-    /// It is longer than [`LONGEST_BODY`] bytes.
+    /// It is longer than it may be.
     TooLong,
+    /// It comes more slowly than [`Pace`] allows.
+    TooSlow,
     /// It broke off.
     Broken(E),
 }
 
-/// Reads a body whole, on the `account`.
+/// How long a sender may keep one waiting: bytes that come earn time, waiting for them spends it.
+///
+/// Only the wait for the sender counts. What stands still because nobody reads it costs it nothing.
+#[derive(Debug)]
+pub struct Pace {
+    left: Duration,
+    most: Duration,
+}
+
+impl Pace {
+    /// A sender who is to keep to the least rate, with [`GRACE`] at first.
+    pub fn new() -> Pace {
+        Pace { left: GRACE, most: GRACE }
+    }
+
+    /// A sender who may take as long as it likes.
+    pub fn unbounded() -> Pace {
+        Pace { left: Duration::MAX, most: Duration::MAX }
+    }
+
+    /// Waits for the sender; None: its time is spent.
+    async fn wait<T>(&mut self, sender: impl Future<Output = T>) -> Option<T> {
+        if self.left == Duration::MAX {
+            return Some(sender.await);
+        }
+        let since = Instant::now();
+        let got = timeout(self.left, sender).await.ok();
+        self.left = self.left.saturating_sub(since.elapsed());
+        got
+    }
+
+    /// So many bytes have come.
+    fn earn(&mut self, bytes: usize) {
+        let earned = Duration::from_secs_f64(bytes as f64 / LEAST_RATE);
+        self.left = self.left.saturating_add(earned).min(self.most);
+    }
+}
+
+impl Default for Pace {
+    fn default() -> Pace {
+        Pace::new()
+    }
+}
+
+/// What has been read of a body.
+#[derive(Debug)]
+pub enum Held {
+    /// All of it.
+    Whole(Vec<Bytes>),
+    /// More than [`LONGEST_BODY`] bytes, and more may follow.
+    Part(Vec<Bytes>),
+}
+
+/// Reads as much of a body as is held, on the `account`: all of it, or its first [`LONGEST_BODY`] bytes and
+/// the piece in which they end.
 ///
 /// Danger: room is taken before bytes are here; else the budget would be overdrawn by all who send
 /// at once. What is not yet read waits in the client.
 ///
 /// # Errors
-/// Says whether it is too long or broke off.
+/// Says whether it is announced as longer than `most` bytes, comes too slowly or broke off.
 ///
 /// Dropped on the way, it gives back nothing: that is the account's own part.
-pub async fn read<B>(
-    body: B,
+pub async fn hold<B>(
+    body: &mut B,
+    most: u64,
     account: &mut ByteReservation,
-) -> Result<Vec<Bytes>, ReadError<B::Error>>
+    pace: &mut Pace,
+) -> Result<Held, ReadError<B::Error>>
 where
-    B: Body,
+    B: Body + Unpin,
 {
-    let mut body = std::pin::pin!(body);
     let mut pieces = Vec::new();
     let mut piece = BytesMut::new();
     let mut left = LONGEST_BODY;
     // What is announced as too long need not be waited for.
-    if body.size_hint().lower() > left as u64 {
+    if body.size_hint().lower() > most {
         return Err(ReadError::TooLong);
     }
     if body.is_end_stream() {
-        return Ok(pieces);
+        return Ok(Held::Whole(pieces));
     }
     account.grow(PIECE).await;
-    while let Some(frame) = body.frame().await {
+    let more = loop {
+        let frame = pace.wait(body.frame()).await.ok_or(ReadError::TooSlow)?;
+        let Some(frame) = frame else { break false };
         let Ok(mut data) = frame.map_err(ReadError::Broken)?.into_data() else { continue };
+        pace.earn(data.remaining());
         let rest = left.checked_sub(data.remaining());
-        left = rest.ok_or(ReadError::TooLong)?;
         while data.has_remaining() {
             // Danger: bodies that come byte by byte would cost many times their size if each
             // byte were kept as it came.
@@ -64,11 +136,60 @@
                 account.grow(PIECE).await;
             }
         }
-    }
+        match rest {
+            Some(rest) => left = rest,
+            None => break true,
+        }
+    };
     if !piece.is_empty() {
         pieces.push(piece.freeze());
     }
-    Ok(pieces)
+    Ok(if more { Held::Part(pieces) } else { Held::Whole(pieces) })
+}
+
+/// How servers are told the length of a body of which `held` bytes are here.
+pub fn framing(body: &impl Body, held: u64) -> Framing {
+    body.size_hint().exact().map_or(Framing::Chunked, |rest| Framing::Length(held + rest))
+}
+
+/// Why the rest of a body was not passed on.
+#[derive(Debug)]
+pub enum FeedError<E> {
+    /// The sender's part.
+    Read(ReadError<E>),
+    /// The server's part.
+    NotTaken(NotTaken),
+}
+
+/// Passes on what follows the part of a body that is held, `held` bytes long, up to `most` bytes in all.
+///
+/// # Errors
+/// Says which side broke off, or was too slow. The body is not whole then, and the server is not told that
+/// it is.
+pub async fn feed<B>(
+    body: &mut B,
+    held: u64,
+    most: u64,
+    pace: &mut Pace,
+    feed: Feed,
+) -> Result<(), FeedError<B::Error>>
+where
+    B: Body + Unpin,
+{
+    let mut room = most.saturating_sub(held);
+    loop {
+        let frame = pace.wait(body.frame()).await.ok_or(FeedError::Read(ReadError::TooSlow))?;
+        let Some(frame) = frame else { break };
+        let frame = frame.map_err(|e| FeedError::Read(ReadError::Broken(e)))?;
+        let Ok(mut data) = frame.into_data() else { continue };
+        let n = data.remaining();
+        pace.earn(n);
+        room = room.checked_sub(n as u64).ok_or(FeedError::Read(ReadError::TooLong))?;
+        if n > 0 {
+            feed.send(data.copy_to_bytes(n)).await.map_err(FeedError::NotTaken)?;
+        }
+    }
+    feed.end().await.map_err(FeedError::NotTaken)
 }
 
 /// The client has gone, or cannot be told anything more.
--- a/crates/millethook-http/src/ingress.rs
+++ b/crates/millethook-http/src/ingress.rs
@@ -4,7 +4,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::task::{Context, Poll};
@@ -22,24 +22,24 @@
 use millethook_engine::driver::{Driver, Reply};
 use millethook_engine::names::Names;
 use millethook_engine::stream::{self, Observer, Stream};
+use millethook_engine::upload::{LONGEST_UPLOAD, NotTaken, Upload};
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
 use crate::answer::{self, AnswerBody};
-use crate::body::{Gone, ReadError, read};
+use crate::body::{FeedError, Gone, Held, Pace, ReadError, feed, framing, hold};
 use crate::guard::{HeadScan, OpenIds};
 use crate::head::{HeadOverrides, parse_head};
 
 /// The most that hyper reads ahead, and so the longest head. Danger: each of a crowd of clients may
 /// fill as much.
 const READ_AHEAD: usize = 32 << 10;
-/// How long a client may take from a request's first byte to its last, however it spreads them.
-/// Guards against heads and bodies that never end, lengths that are too great, and clients that send
-/// a byte now and then to stay. Danger: a client on a machine that stands still for so long loses
-/// its connection, and what it sends with it.
-const SLOWEST_REQUEST: Duration = Duration::from_millis(2400);
+/// How long a client may take for a request's head, however it spreads it; bodies have [`Pace`].
+/// Guards against heads that never end, and clients that send a byte now and then to stay. Danger: a
+/// client on a machine that stands still for so long loses its connection, and what it sends with it.
+const SLOWEST_HEAD: Duration = Duration::from_millis(2400);
 /// How long a connection may say nothing at first.
 const SLOWEST_FIRST: Duration = Duration::from_secs(2);
 /// How long a connection may rest between requests.
@@ -73,7 +73,9 @@
     Resting,
     /// Part of a request has come.
     Partial,
-    /// A request is whole, and its answer is awaited.
+    /// The head has come, and part of the body may have.
+    Body,
+    /// A request is whole, or belongs to one server by now, and its answer is awaited.
     Taken,
     /// The answer is made; some of it may be unwritten.
     Answered,
@@ -132,7 +134,7 @@
             // Danger: in a crowd, connections that only wait for their clients to close them
             // would keep new ones out.
             Phase::Ending => Some((0, self.since.get())),
-            Phase::Partial if self.since.get().elapsed() > SLOW_REQUEST => {
+            Phase::Partial | Phase::Body if self.since.get().elapsed() > SLOW_REQUEST => {
                 Some((1, self.since.get()))
             }
             // Danger: were the longest at rest to go first, silent newcomers would drive out those
@@ -142,7 +144,7 @@
             }
             Phase::Resting if self.asked() => Some((2, self.moved.get())),
             Phase::Resting => Some((3, self.since.get())),
-            Phase::Partial => Some((4, self.since.get())),
+            Phase::Partial | Phase::Body => Some((4, self.since.get())),
         }
     }
 
@@ -156,9 +158,9 @@
     fn stalled(&self) -> bool {
         let (still, spent) = (self.moved.get().elapsed(), self.since.get().elapsed());
         match self.phase.get() {
-            Phase::Taken | Phase::Ending => false,
+            Phase::Body | Phase::Taken | Phase::Ending => false,
             Phase::Resting => spent > if self.asked() { REST } else { SLOWEST_FIRST },
-            Phase::Partial => spent > SLOWEST_REQUEST,
+            Phase::Partial => spent > SLOWEST_HEAD,
             Phase::Answered => still > WRITE_STALL,
         }
     }
@@ -278,7 +280,8 @@
     pub fn close_idle(&self, partial: bool) {
         for client in self.clients.borrow().values() {
             let phase = client.phase.get();
-            if phase == Phase::Resting || (partial && phase == Phase::Partial) {
+            if phase == Phase::Resting || (partial && matches!(phase, Phase::Partial | Phase::Body))
+            {
                 client.leave.notify_one();
             }
         }
@@ -433,7 +436,10 @@
         let (mut response, last) = match self.reply(&client, request).await? {
             Ok(reply) => (written(reply), false),
             // Danger: what follows a request that makes no sense makes none either.
-            Err(status) => (plain(status), status == StatusCode::BAD_REQUEST),
+            Err(status) => {
+                let last = [StatusCode::BAD_REQUEST, StatusCode::REQUEST_TIMEOUT];
+                (plain(status), last.contains(&status))
+            }
         };
         // A successor goes on with the connection.
         if last || (self.draining.get() && self.successor.borrow().is_none()) {
@@ -475,18 +481,54 @@
         let Some(claim) = self.ids.claim(id.as_bytes()) else {
             return Ok(Err(StatusCode::CONFLICT));
         };
+        client.enter(Phase::Body);
+        let (mut body, mut pace) = (body, Pace::new());
         let mut account = self.bytes.account();
-        let body = match read(body, &mut account).await {
-            Ok(body) => body,
-            Err(ReadError::TooLong) => return Ok(Err(StatusCode::PAYLOAD_TOO_LARGE)),
-            Err(ReadError::Broken(_)) => return Err(Gone),
+        let held = match hold(&mut body, LONGEST_UPLOAD, &mut account, &mut pace).await {
+            Ok(held) => held,
+            Err(e) => return unread(e).map(Err),
         };
         client.enter(Phase::Taken);
         claim.keep();
-        let spec = answer::spec(head, &asked, body, account);
+        let pieces = match held {
+            Held::Whole(pieces) => {
+                let spec = answer::spec(head, &asked, pieces, account, None);
+                let mut ticket = self.driver.request(asked, spec);
+                drop(names);
+                return Ok(Ok(ticket.reply().await));
+            }
+            Held::Part(pieces) => pieces,
+        };
+        let length: u64 = pieces.iter().map(|piece| piece.len() as u64).sum();
+        let (upload, rest) = Upload::new(asked.left);
+        let upload = Some((upload, framing(&body, length)));
+        let spec = answer::spec(head, &asked, pieces, account, upload);
         let mut ticket = self.driver.request(asked, spec);
         drop(names);
-        Ok(Ok(ticket.reply().await))
+        let fed = {
+            let feeding = pin!(feed(&mut body, length, LONGEST_UPLOAD, &mut pace, rest));
+            tokio::select! {
+                biased;
+                // It was refused, or a server had no need of the rest.
+                reply = ticket.reply() => return Ok(Ok(reply)),
+                fed = feeding => fed,
+            }
+        };
+        match fed {
+            Err(FeedError::Read(e)) => unread(e).map(Err),
+            Err(FeedError::NotTaken(NotTaken::Stalled)) => Ok(Ok(Reply::Failed)),
+            // Why nobody takes it, the reply tells.
+            Ok(()) | Err(FeedError::NotTaken(NotTaken::Closed)) => Ok(Ok(ticket.reply().await)),
+        }
+    }
+}
+
+/// The status for a body that cannot be read, if its client can still be told.
+fn unread<E>(e: ReadError<E>) -> Result<StatusCode, Gone> {
+    match e {
+        ReadError::TooLong => Ok(StatusCode::PAYLOAD_TOO_LARGE),
+        ReadError::TooSlow => Ok(StatusCode::REQUEST_TIMEOUT),
+        ReadError::Broken(_) => Err(Gone),
     }
 }
 
--- a/crates/millethook/src/fleet.rs
+++ b/crates/millethook/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::pin::Pin;
+use std::pin::pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
@@ -10,10 +11,11 @@
 
 use http::{Request, Response};
 use millethook_connect::pool::Ended as ConnectionsEnded;
-use millethook_engine::budget::{Bytes, ConnectionPermits, LONGEST_BODY};
+use millethook_engine::budget::{Bytes, ConnectionPermits};
 use millethook_engine::driver::Reply;
+use millethook_engine::upload::{LONGEST_UPLOAD, NotTaken, Upload};
 use millethook_http::answer;
-use millethook_http::body::{ReadError, read};
+use millethook_http::body::{FeedError, Held, Pace, ReadError, feed, framing, hold};
 use tokio::sync::{Notify, Semaphore, mpsc, oneshot, watch};
 use tokio::time::{timeout, timeout_at};
 use tower_service::Service;
@@ -247,9 +249,11 @@
     /// answer that is no server's error (5xx) and does not ask to try again (408, 421, 425, 429); under
     /// [`Begins::Whole`](crate::Begins::Whole) one with the status 200.
     ///
-    /// The body is read whole first, 64 KiB at most. The time that the caller gives runs from the
-    /// call on and is over at the class's deadline at the latest; by then there is an answer or an
-    /// error.
+    /// A body of up to 64 KiB is read whole first. Of a longer one, up to 32 MiB, the rest is passed on as it
+    /// comes; from then on the request belongs to one server, and is repeated at no other. The time that the
+    /// caller gives runs from the call on, for a longer body from its end, and is over at the class's
+    /// deadline at the latest; by then there is an answer or an error. Of an answer over 64 KiB the head is
+    /// there by then.
     ///
     /// Dropping the future calls the request off wherever it is: attempts are ended, what they held
     /// is given back, and nothing more is sent for it. What a server has begun on by then may have
@@ -275,19 +279,55 @@
         };
         let until = began + asked.left;
         let mut account = shared.bytes.account();
-        let body = match timeout_at(until.into(), read(body, &mut account)).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(ReadError::TooLong)) => return Err(Error::TooLarge { limit: LONGEST_BODY }),
+        // The host's body has its own pace; the request's time bounds it.
+        let (mut body, mut pace) = (Box::pin(body), Pace::unbounded());
+        let holding = hold(&mut body, LONGEST_UPLOAD, &mut account, &mut pace);
+        let held = match timeout_at(until.into(), holding).await {
+            Ok(Ok(held)) => held,
+            Ok(Err(ReadError::TooLong)) => return Err(too_large()),
             Ok(Err(ReadError::Broken(e))) => return Err(Error::Body(e.into())),
             // Its time is over, and it has gone nowhere.
-            Err(_) => return Err(unsent()),
+            Ok(Err(ReadError::TooSlow)) | Err(_) => return Err(unsent()),
         };
-        let spec = answer::spec(head, &asked, body, account);
-        let (reply, answer) = oneshot::channel();
+        let left = asked.left;
+        let (pieces, rest) = match held {
+            Held::Whole(pieces) => (pieces, None),
+            Held::Part(pieces) => (pieces, Some(Upload::new(left))),
+        };
+        let length: u64 = pieces.iter().map(|piece| piece.len() as u64).sum();
+        let (upload, rest) = rest.unzip();
+        let upload = upload.map(|upload| (upload, framing(&body, length)));
+        let spec = answer::spec(head, &asked, pieces, account, upload);
+        let (reply, mut answer) = oneshot::channel();
         let call = Call { asked, id, spec, until, reply, place };
         let sent = shared.commands.send(Command::Call(Box::new(call)));
         sent.map_err(|_| Error::Closed)?;
-        let reply = match timeout_at((until + GRACE).into(), answer).await {
+        let (mut until, mut early) = (until, None);
+        if let Some(rest) = rest {
+            let feeding = pin!(feed(&mut body, length, LONGEST_UPLOAD, &mut pace, rest));
+            tokio::select! {
+                biased;
+                // It was refused, or a server had no need of the rest.
+                reply = &mut answer => early = Some(reply),
+                fed = feeding => match fed {
+                    // The time runs from the last byte on.
+                    Ok(()) | Err(FeedError::NotTaken(NotTaken::Closed)) => {
+                        until = Instant::now() + left;
+                    }
+                    Err(FeedError::Read(ReadError::TooLong)) => return Err(too_large()),
+                    // A part of it has gone out, and a server may have begun on that.
+                    Err(FeedError::Read(ReadError::Broken(_))) => {
+                        return Err(Error::Failed { timed_out: false });
+                    }
+                    Err(_) => return Err(Error::Failed { timed_out: true }),
+                },
+            }
+        }
+        let reply = match early {
+            Some(reply) => Ok(reply),
+            None => timeout_at((until + GRACE).into(), answer).await,
+        };
+        let reply = match reply {
             Ok(Ok(reply)) => reply?,
             // The engine has ended, or its thread stands still.
             Ok(Err(_)) => return Err(Error::Failed { timed_out: false }),
@@ -384,3 +424,7 @@
         Box::pin(async move { Fleet::call(&fleet, request).await })
     }
 }
+
+fn too_large() -> Error {
+    Error::TooLarge { limit: LONGEST_UPLOAD as usize }
+}
--- a/crates/plankvale/tests/sidecar/main.rs
+++ b/crates/plankvale/tests/sidecar/main.rs
@@ -4,6 +4,7 @@
 mod clients;
 mod early;
 mod framing;
+mod large;
 mod operators;
 mod outcomes;
 mod reload;
--- a/crates/plankvale/tests/sidecar/rough.rs
+++ b/crates/plankvale/tests/sidecar/rough.rs
@@ -97,7 +97,8 @@
     }
 }
 
-/// It keeps coming, and is not kept.
+/// It keeps coming, and is not kept. Nothing tells it from a long one until it is longer than any; then
+/// its client sees that it is not whole.
 #[test]
 fn an_answer_without_end_costs_no_memory() {
     let (list, log, _) = servers(2, |mut conn, seen| {
@@ -112,6 +113,8 @@
         Some(conn)
     });
     let (sidecar, _agent) = Sidecar::of(&list);
+    let answer = sidecar.ask(safe());
+    assert!(!answer.whole && answer.body.len() <= 32 << 20);
     assert_eq!((sidecar.ask(safe()).body.as_slice(), log.count()), (&b"fine"[..], 2));
     assert!(sidecar.memory_mb() < 30, "{} MB", sidecar.memory_mb());
 }
