Pass slow answers without a length on before they are known to be long

Cause: of an answer over 64 KiB the first bytes are timed, but one that does not tell its length was held until 64 KiB had come, half a second on a slow line (99th percentile from the answer to the client 524 ms). Now it is passed on once 4 KiB have come over an eighth of the aim. Short and quick answers are held to their end as before, since what is passed on can be repeated nowhere. Ruled out: the clients' side (to the first attempt 4 ms) and memory.

--- a/crates/millethook-engine/src/upstream/attempt.rs
+++ b/crates/millethook-engine/src/upstream/attempt.rs
@@ -32,6 +32,11 @@
 /// Longer answers are passed on up to this size, as long as a body may be; those of classes that stream have
 /// no bound. Danger: spoilt heads announce gigabytes, and what follows is noise.
 pub(super) const LONGEST_ANSWER: u64 = LONGEST_UPLOAD;
+/// An answer that does not say how long it is, is passed on once so many bytes of it have come over such a part of
+/// the aim: it may well be a long one, whose first bytes are waited for. Danger: what is passed on can be
+/// repeated nowhere, so short answers and quick ones are held to their end.
+const SLOW_ANSWER: usize = 4 << 10;
+const SLOW_SHARE: u32 = 8;
 /// How long an answer that has begun may stand still. It is written in one go, so what stops is cut
 /// short or was given too great a length. Danger: over a line that loses packets an answer may
 /// pause for as long as its system takes to send them again, some 200 ms.
@@ -347,7 +352,7 @@
                 Err(outcome) => return AttemptOutcome::end(outcome, none()),
             };
             let running = match self.ask((server, dial), lease, rested, request, until).await {
-                Ok((running, head)) => return self.answer(running, head, request.streaming).await,
+                Ok((running, head)) => return self.answer(running, head, request).await,
                 Err(running) => running,
             };
             let never_ran = running.exchange.execution() == Execution::NeverRan;
@@ -422,8 +427,9 @@
         self: &Rc<Upstream>,
         mut running: Running,
         head: ResponseHead,
-        streaming: bool,
+        request: &AttemptRequest,
     ) -> AttemptOutcome {
+        let streaming = request.streaming;
         let report = head.headers.get("x-backend-load").and_then(|v| v.to_str().ok());
         let report = report.map(|text| self.names.report(text)).unwrap_or_default();
         if !is_served(self.config.begins, head.status) {
@@ -432,9 +438,15 @@
             return AttemptOutcome::end(outcome, report);
         }
         let length = head.length;
-        let mut whole = Collected::default();
+        let (mut whole, begun) = (Collected::default(), Instant::now());
         loop {
-            let too_long = whole.len() > WHOLE || length.is_some_and(|l| l > WHOLE as u64);
+            let too_long = match length {
+                Some(length) => length > WHOLE as u64,
+                None => {
+                    let slow = || begun.elapsed() > request.aim / SLOW_SHARE;
+                    whole.len() > WHOLE || (whole.len() >= SLOW_ANSWER && slow())
+                }
+            };
             let most = if streaming { u64::MAX } else { LONGEST_ANSWER };
             if too_long && length.is_none_or(|length| length <= most) {
                 let first = whole.take();
--- a/crates/millethook-testkit/src/message.rs
+++ b/crates/millethook-testkit/src/message.rs
@@ -70,7 +70,12 @@
 
     /// Reads a whole message. None: nothing came; one that breaks off is not `whole`.
     pub fn message(&mut self) -> Option<Message> {
-        let mut message = self.head()?;
+        let head = self.head()?;
+        Some(self.rest_of(head))
+    }
+
+    /// Reads what belongs to a head that has been read.
+    pub fn rest_of(&mut self, mut message: Message) -> Message {
         let body = &mut message.body;
         message.whole = if message.headers.iter().any(|h| h.0 == "transfer-encoding") {
             chunks(&mut self.reader, body).is_some()
@@ -80,7 +85,7 @@
             let got = (&mut self.reader).take(length).read_to_end(body);
             got.is_ok() && body.len() as u64 == length
         };
-        Some(message)
+        message
     }
 
     /// Sends a request and reads its answer.
--- a/crates/plankvale/tests/sidecar/large.rs
+++ b/crates/plankvale/tests/sidecar/large.rs
@@ -282,3 +282,34 @@
     assert_eq!((answer.status(), answer.whole), (200, true));
     assert_eq!(answer.body, long.into_bytes());
 }
+
+/// Of a long answer the first bytes are waited for. One that does not say how long it is, and comes slowly,
+/// is passed on before it is known to be long.
+#[test]
+fn a_slow_answer_without_a_length_is_passed_on_as_it_comes() {
+    let (go, going) = channel::<()>();
+    let going = std::sync::Mutex::new(going);
+    let server = Server::start(move |mut conn| {
+        while conn.message().is_some() {
+            conn.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            for _ in 0..6 {
+                conn.send("400\r\n");
+                conn.send(bytes(1024));
+                conn.send("\r\n");
+                // A fifth of the aim in all.
+                thread::sleep(std::time::Duration::from_millis(10));
+            }
+            // The rest comes when the client has seen the beginning.
+            let _ = going.lock().unwrap().recv_timeout(BOUND);
+            conn.send("0\r\n\r\n");
+        }
+    });
+    let (sidecar, _agent) = Sidecar::of(&[server]);
+    let mut client = sidecar.client();
+    client.send(unsafe_with("x"));
+    let head = client.head().expect("the head, ahead of the answer's end");
+    assert_eq!(head.status(), 200);
+    go.send(()).unwrap();
+    let rest = client.rest_of(head);
+    assert!(rest.whole && rest.body.len() == 6 << 10);
+}
