Serve by the remembered list until discovery, where it is asked, has had its turn

Cause: where lists are asked for, each daemon waits a random time, up to half of mustAskIn, for its first call, so that a herd does not swamp discovery; until then it was not ready.

The list that the daemon remembers now makes it ready at once; discovery is asked as before, no sooner. Ruled out: discovery's turning calls away (restarts took no longer than the random wait), memory and CPU. The way not taken: asking sooner, which is what the wait guards against.

--- a/crates/millethook-engine/src/engine.rs
+++ b/crates/millethook-engine/src/engine.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use coppercart::api::ListKind;
-use coppercart::settings::Settings;
+use coppercart::settings::{Discovery as How, Settings};
 use millethook_connect::Begins;
 use millethook_connect::pool::Limits;
 use serde_json::Value;
@@ -124,6 +124,12 @@
             driver.servers(kind, known);
         }
         let tried = Rc::new(Notify::new());
+        // Danger: where discovery is asked, thousands of sidecars that start together ask one after the other
+        // over some seconds, and it may turn many away. Whoever has a list from before serves by it meanwhile:
+        // servers that are gone refuse, and the first answer puts the list right.
+        if how == How::Asked && config.known.as_ref().is_some_and(|known| !known.hosts.is_empty()) {
+            tried.notify_one();
+        }
         let discovery = match config.discovery {
             Some(at) => {
                 let (discovery, moves) = watch::channel(at);
--- a/crates/millethook-http/src/body.rs
+++ b/crates/millethook-http/src/body.rs
@@ -47,7 +47,7 @@
 }
 
 impl Pace {
-    /// A sender who is to keep to the least rate, with [`GRACE`] at first.
+    /// A sender who is to keep to the least rate, with 1.5 s of grace at first.
     pub fn new() -> Pace {
         Pace { left: GRACE, most: GRACE }
     }
--- a/crates/plankvale/tests/sidecar/reload.rs
+++ b/crates/plankvale/tests/sidecar/reload.rs
@@ -204,3 +204,20 @@
     within("taken", || sidecar.figure("sidecar.sighup_applied") == 1);
     assert_eq!(sidecar.ask(keyed()).status(), 404);
 }
+
+/// Where discovery is asked, those that start together ask one after the other. Whoever has a list from before
+/// serves by it until then; here discovery never answers, and would not be asked for hours.
+#[test]
+fn a_remembered_list_serves_until_discovery_is_asked() {
+    let a = Server::named("a");
+    let silent = Server::start(|conn| {
+        std::thread::sleep(BOUND);
+        drop(conn);
+    });
+    let sidecar = Sidecar::start(&config(silent.address, |c| {
+        c["known"] = json!({"seq": 3, "whole": true, "hosts": [host("s-a", a.address)]});
+        c["settings"]["discovery"] = json!("on_request");
+        c["settings"]["rules"]["mustAskIn"] = json!(100_000_000_000u64);
+    }));
+    assert_eq!(sidecar.served_by(), "a");
+}
