Send safe requests again at their aim where their server has said nothing since

Need: nothing overtakes a request at a server that accepts and never answers, so no second copy went out and it failed when its time was up.

Change: settings failover.copyAtAim and failover.slowExponent, on in the library (FleetBuilder), off where the settings lack them, as on the platform. What a silent server's attempt was called off for counts as a failure, so the server is left out.

--- /dev/null
+++ b/crates/coppercart/src/average.rs
@@ -0,0 +1,45 @@
+//! An average over whole spans of time: what the last full span came to.
+
+use crate::api::Micros;
+
+/// The mean of what was added in the last span that is over.
+#[derive(Debug, Default)]
+pub(crate) struct Average {
+    since: Micros,
+    sum: f64,
+    count: f64,
+    /// None until the first span is over.
+    pub(crate) last: Option<f64>,
+}
+
+impl Average {
+    /// Adds one figure. The one that comes `span` or more after the first of its span ends it.
+    pub(crate) fn add(&mut self, now: Micros, span: Micros, figure: f64) {
+        if self.count == 0.0 {
+            self.since = now;
+        }
+        self.sum += figure;
+        self.count += 1.0;
+        if now - self.since >= span {
+            self.last = Some(self.sum / self.count);
+            (self.sum, self.count) = (0.0, 0.0);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_span_counts_once_it_is_over() {
+        let mut average = Average::default();
+        average.add(100, 10, 1.0);
+        average.add(109, 10, 2.0);
+        assert_eq!(average.last, None);
+        average.add(110, 10, 6.0);
+        assert_eq!(average.last, Some(3.0));
+        average.add(111, 10, 50.0);
+        assert_eq!(average.last, Some(3.0), "the new span is not over");
+    }
+}
--- a/crates/coppercart/src/decide/learning.rs
+++ b/crates/coppercart/src/decide/learning.rs
@@ -13,20 +13,6 @@
 /// Failures in a row after which trials are no rarer still (each one doubles the pause).
 const MAX_DOUBLINGS: u32 = 5;
 
-impl Average {
-    pub(super) fn add(&mut self, now: Micros, queue: f64) {
-        if self.count == 0.0 {
-            self.since = now;
-        }
-        self.sum += queue;
-        self.count += 1.0;
-        if now - self.since >= CAPACITY_SPAN {
-            self.last = Some(self.sum / self.count);
-            (self.sum, self.count) = (0.0, 0.0);
-        }
-    }
-}
-
 impl Balancer {
     /// What an outcome tells of the server.
     pub(super) fn heard(
@@ -47,6 +33,7 @@
         let pause = self.reset_interval as f64 * (0.75 + 0.5 * self.uniform());
         let aim = self.settings.classes[class].aim as f64;
         let silent = self.silent(&self.servers[slot]);
+        let lost = self.lost(&self.servers[slot], sent) && now - sent >= aim as Micros;
         let s = &mut self.servers[slot];
         s.in_flight = s.in_flight.saturating_sub(u32::from(!begun));
         if s.in_flight == 0 {
@@ -58,6 +45,8 @@
             return;
         }
         match outcome {
+            // Danger: what was overtaken by its copy is called off, and would tell nothing.
+            Outcome::Cancelled if lost => {}
             Outcome::Moot | Outcome::Cancelled => return,
             Outcome::Served | Outcome::Error | Outcome::Full => {
                 s.silent_since = (s.in_flight > 0).then_some(now);
@@ -171,7 +160,7 @@
             s.chips = (s.chips + 2).min(MAX_CHIPS);
             return;
         };
-        s.average.add(now, queue);
+        s.average.add(now, CAPACITY_SPAN, queue);
         let share = match s.average.last {
             Some(capacity) => {
                 let capacity = capacity.max(4.0);
--- a/crates/coppercart/src/decide/mod.rs
+++ b/crates/coppercart/src/decide/mod.rs
@@ -11,8 +11,9 @@
 use smallvec::SmallVec;
 
 use crate::api::*;
+use crate::average::Average;
+use crate::draws::Draws;
 use crate::settings::*;
-use picking::Draws;
 use shedding::Lateness;
 
 mod learning;
@@ -74,20 +75,12 @@
     reported: Micros,
     /// Answer times here, relative to the usual ones of their classes.
     slowness: f64,
+    /// Of reported queues, over the paper's span.
     average: Average,
     /// It is of this sidecar's subset.
     kept: bool,
 }
 
-/// The average of reported queues over the paper's span.
-#[derive(Debug, Default)]
-struct Average {
-    since: Micros,
-    sum: f64,
-    count: f64,
-    last: Option<f64>,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fate {
     Out,
--- a/crates/coppercart/src/decide/picking.rs
+++ b/crates/coppercart/src/decide/picking.rs
@@ -12,21 +12,6 @@
 /// Up to here a server may look slow by chance: a dozen answers with a spread of once their mean.
 const CHANCE_SLOW: f64 = 1.6;
 
-/// Slots of servers, and the running sum of their draw weights.
-#[derive(Debug, Default)]
-pub(super) struct Draws {
-    pub(super) slots: Vec<Slot>,
-    pub(super) sums: Vec<f64>,
-}
-
-impl Draws {
-    fn at(&self, u: f64) -> Slot {
-        let at = u * self.sums.last().copied().unwrap_or(0.0);
-        let i = self.sums.partition_point(|&sum| sum <= at);
-        self.slots[i.min(self.slots.len() - 1)]
-    }
-}
-
 impl Balancer {
     /// A random server by weight, of this sidecar's subset or of all.
     fn draw(&mut self, of_all: bool) -> Slot {
@@ -102,7 +87,9 @@
                 // Danger: a server that is slow but answers keeps its share and makes it late. The
                 // slower it is beside its peers, the more often it is passed over.
                 let slow = s.slowness / CHANCE_SLOW;
-                if slow > 1.0 && self.uniform() * slow * slow > 1.0 {
+                if slow > 1.0
+                    && self.uniform() * slow.powf(self.settings.failover.slow_exponent) > 1.0
+                {
                     continue;
                 }
                 let s = &self.servers[slot];
--- a/crates/coppercart/src/decide/timers.rs
+++ b/crates/coppercart/src/decide/timers.rs
@@ -31,21 +31,20 @@
             // overload, copies would be what makes others late.
             Some(Alarm::Copy(id)) => {
                 let Some(r) = self.requests.get(&id) else { return };
-                let class = &self.settings.classes[r.class];
-                let harmless = class.repeat != Repeat::Unsafe && self.settings.limits.may_duplicate;
                 // Timers run late, and the next one is not to run later for that.
-                let due = r.attempts.first().map_or(self.now, |a| a.sent) + class.aim;
+                let aim = self.settings.classes[r.class].aim;
+                let due = r.attempts.first().map_or(self.now, |a| a.sent) + aim;
                 // One that came long after it: a heavy request is soon overtaken, too.
                 let usual = self.learned[r.class].usual as Micros;
-                let overtaken = |a: &Attempt| self.servers[a.slot].answered > a.sent + usual;
-                let waiting = harmless && !r.ended && !r.streaming && r.out() > 0;
-                if waiting && r.attempts.iter().all(overtaken) && self.lateness_now() < SHED_FROM {
-                    self.again(id, out);
-                }
+                let calm = self.lateness_now() < SHED_FROM;
+                self.copy(id, calm, |_, s, a| s.answered > a.sent + usual, out);
                 self.look_again(due.saturating_sub(self.now), Alarm::Late(id), out);
             }
             Some(Alarm::Late(id)) => {
+                // Danger: nothing overtakes what went to a server that accepts and never answers.
+                let calm = self.lateness_now() < SHED_FROM;
                 self.unanswered(id);
+                self.copy(id, calm, |b, s, a| b.lost(s, a.sent), out);
                 self.look_again(Micros::MAX, Alarm::Overdue(id), out);
             }
             Some(Alarm::Overdue(id)) if self.requests.get(&id).is_some_and(|r| !r.streaming) => {
@@ -56,6 +55,29 @@
         }
     }
 
+    /// Sends one more copy where `lost` is true of every attempt so far.
+    fn copy(
+        &mut self,
+        id: RequestId,
+        calm: bool,
+        lost: impl Fn(&Self, &Server, &Attempt) -> bool,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(r) = self.requests.get(&id) else { return };
+        let repeat = self.settings.classes[r.class].repeat;
+        let harmless = repeat != Repeat::Unsafe && self.settings.limits.may_duplicate;
+        let waiting = harmless && !r.ended && !r.streaming && r.out() > 0;
+        let all = r.attempts.iter().all(|a| lost(self, &self.servers[a.slot], a));
+        if waiting && all && calm {
+            self.again(id, out);
+        }
+    }
+
+    /// Whether nothing has come from a server since then, where that means another attempt.
+    pub(super) fn lost(&self, s: &Server, sent: Micros) -> bool {
+        self.settings.failover.copy_at_aim && s.silent_since.is_some_and(|t| t <= sent)
+    }
+
     /// Danger: with few requests of its own, a sidecar that waits for late answers to come in
     /// learns of an overload when it is over. Not having come by the aim counts.
     fn unanswered(&mut self, id: RequestId) {
--- /dev/null
+++ b/crates/coppercart/src/draws.rs
@@ -0,0 +1,29 @@
+//! A weighted random choice: running sums of weights, searched by one number of the unit interval.
+
+/// Members and the running sum of their weights. Both are as long.
+#[derive(Debug, Default)]
+pub(crate) struct Draws {
+    pub(crate) slots: Vec<usize>,
+    pub(crate) sums: Vec<f64>,
+}
+
+impl Draws {
+    /// The member whose span of the sums holds `u`, of `[0, 1)`. There has to be one.
+    pub(crate) fn at(&self, u: f64) -> usize {
+        let at = u * self.sums.last().copied().unwrap_or(0.0);
+        let i = self.sums.partition_point(|&sum| sum <= at);
+        self.slots[i.min(self.slots.len() - 1)]
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_member_has_its_share_of_the_interval() {
+        let draws = Draws { slots: vec![7, 8, 9], sums: vec![1.0, 1.0, 4.0] };
+        let drawn: Vec<usize> = (0..8).map(|i| draws.at(f64::from(i) / 8.0)).collect();
+        assert_eq!(drawn, [7, 7, 9, 9, 9, 9, 9, 9], "a member of no weight is never drawn");
+    }
+}
--- a/crates/coppercart/src/lib.rs
+++ b/crates/coppercart/src/lib.rs
@@ -5,6 +5,8 @@
 #![forbid(unsafe_code)]
 
 pub mod api;
+mod average;
 pub mod decide;
+mod draws;
 pub mod settings;
 pub mod wire;
--- a/crates/coppercart/src/settings.rs
+++ b/crates/coppercart/src/settings.rs
@@ -129,6 +129,25 @@
     }
 }
 
+/// What is done about servers that are slow or silent, beyond what the platform's settings know of. Where the
+/// settings lack it, decisions are as on the platform.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Failover {
+    /// A safe or keyed request whose server has said nothing since it was sent gets another attempt at its aim,
+    /// within the budget for retries and outside of overload. Costly where servers are often late: each copy is load.
+    pub copy_at_aim: bool,
+    /// How steeply a server gets less the slower its answers are beside the others': a server `n` times as slow
+    /// as chance allows is passed over but once in `n` to this power. 2 on the platform.
+    pub slow_exponent: f64,
+}
+
+impl Default for Failover {
+    fn default() -> Self {
+        Failover { copy_at_aim: false, slow_exponent: 2.0 }
+    }
+}
+
 #[derive(Clone, Debug, Deserialize, Default)]
 #[serde(rename_all = "camelCase", default)]
 pub struct Prices {
@@ -191,6 +210,8 @@
     #[serde(default)]
     pub discovery: Discovery,
     #[serde(default)]
+    pub failover: Failover,
+    #[serde(default)]
     pub family_info: FamilyInfo,
     #[serde(default)]
     pub goal: Goal,
@@ -254,6 +275,10 @@
             self.rules.cold_share > 0.0 && self.rules.cold_share <= 1.0,
             "rules.coldShare: a share above 0, up to 1 expected",
         )?;
+        need(
+            (1.0..=8.0).contains(&self.failover.slow_exponent),
+            "failover.slowExponent: a figure from 1 to 8 expected",
+        )?;
         need(self.rules.fall_multiple > 0.0, "rules.fallMultiple: a figure above 0 expected")?;
         for (i, t) in self.tenants.iter().enumerate() {
             need(
--- a/crates/coppercart/tests/decide.rs
+++ b/crates/coppercart/tests/decide.rs
@@ -4,6 +4,7 @@
 
 use common::*;
 use coppercart::api::*;
+use serde_json::json;
 
 #[test]
 fn the_same_events_give_the_same_actions() {
@@ -688,3 +689,122 @@
     let after = crossed(&mut b, 100, 150 * MS);
     assert!(after < 30, "{after} of 100 crossed within a third of a second");
 }
+
+/// What the decisions do at a request's aim when its server has said nothing since it was sent.
+fn silent_until_the_aim(
+    class: usize,
+    copy_at_aim: bool,
+) -> (Bench, RequestId, ServerId, Vec<Action>) {
+    let servers: Vec<_> = (0..4).map(|n| server(2 * n)).collect();
+    let with = |json: &mut serde_json::Value| json["failover"] = json!({"copyAtAim": copy_at_aim});
+    let mut b = Bench::new(settings(with), 5, &servers);
+    for _ in 0..20 {
+        b.round(0, 0.0);
+    }
+    let (stuck, mut out) = b.request(class);
+    let on = sent(&out).expect("sent");
+    // The look at half of the aim, then the one at the aim.
+    for _ in 0..2 {
+        let Some(Action::Timer { delay, token }) =
+            out.iter().find(|a| matches!(a, Action::Timer { .. }))
+        else {
+            panic!("a look is due: {out:?}");
+        };
+        b.now += delay;
+        out = b.event(Event::Timer { token: *token });
+    }
+    (b, stuck, on, out)
+}
+
+/// Danger: nothing overtakes a request at a server that accepts and never answers, so no second copy
+/// went out for it, and it failed when its time was up.
+#[test]
+fn a_silent_server_costs_an_aim_and_is_left_out() {
+    for class in 0..2 {
+        let (mut b, stuck, on, out) = silent_until_the_aim(class, true);
+        let other = sent(&out).expect("another attempt at the aim");
+        assert_ne!(other, on);
+        b.now += 10 * MS;
+        let out = b.answer(stuck, 1, other, Outcome::Served, 0.0);
+        let called_off = Action::Cancel { id: stuck, attempt: 0 };
+        assert!(out.contains(&called_off), "{out:?}");
+        b.answer(stuck, 0, on, Outcome::Cancelled, 0.0);
+        // It is left out now: what it was called off for counts.
+        for _ in 0..5 {
+            assert_ne!(b.round(0, 0.0), Some(on));
+        }
+    }
+}
+
+#[test]
+fn a_silent_server_gets_no_second_copy_where_it_may_not() {
+    let (.., out) = silent_until_the_aim(0, false);
+    assert_eq!(sent(&out), None, "the settings do not ask for it");
+    let (.., out) = silent_until_the_aim(2, true);
+    assert_eq!(sent(&out), None, "it may have run, and must not twice");
+}
+
+/// Copies at the aim are within the budget for retries: a fleet that says nothing at all is not sent
+/// everything twice.
+#[test]
+fn copies_at_the_aim_are_within_the_budget() {
+    let servers: Vec<_> = (0..8).map(server).collect();
+    let with = |json: &mut serde_json::Value| json["failover"] = json!({"copyAtAim": true});
+    let mut b = Bench::new(settings(with), 9, &servers);
+    let mut due: Vec<(Micros, u32)> = Vec::new();
+    let (mut requests, mut sends) = (0, 0);
+    for _ in 0..400 {
+        b.now += MS;
+        let (_, mut out) = b.request(0);
+        requests += 1;
+        while let Some(at) = due.iter().position(|(at, _)| *at <= b.now) {
+            let (_, token) = due.swap_remove(at);
+            out.extend(b.event(Event::Timer { token }));
+        }
+        for action in out {
+            match action {
+                Action::Timer { delay, token } => due.push((b.now + delay, token)),
+                Action::Send { .. } => sends += 1,
+                _ => {}
+            }
+        }
+    }
+    assert!(sends <= requests + 6 + requests / 10, "{sends} sends of {requests} requests");
+}
+
+/// How steeply a slow server is passed over follows from the settings.
+#[test]
+fn the_slow_exponent_tells_how_often_a_slow_server_is_met() {
+    let to_slow = |exponent: f64| {
+        let with =
+            |json: &mut serde_json::Value| json["failover"] = json!({"slowExponent": exponent});
+        let servers: Vec<_> = (0..4).map(server).collect();
+        let mut b = Bench::new(settings(with), 4, &servers);
+        let mut slow = 0;
+        let mut open: Vec<(Micros, RequestId, ServerId, Micros)> = Vec::new();
+        for _ in 0..4000 {
+            let (id, out) = b.request(0);
+            let server = sent(&out).expect("sent");
+            slow += u32::from(server == ServerId(0));
+            let latency = if server == ServerId(0) { 90 * MS } else { 20 * MS };
+            open.push((b.now + latency, id, server, latency));
+            b.now += 2 * MS;
+            while let Some(at) = open.iter().position(|(due, ..)| *due <= b.now) {
+                let (_, id, server, latency) = open.swap_remove(at);
+                let (outcome, report) = (Outcome::Served, report(0.0));
+                b.event(Event::Answer {
+                    id,
+                    attempt: 0,
+                    server,
+                    outcome,
+                    latency,
+                    finished: true,
+                    report,
+                });
+            }
+        }
+        slow
+    };
+    let (usual, steep) = (to_slow(2.0), to_slow(4.0));
+    assert!(steep * 3 < usual * 2, "{usual} of 4,000, then {steep}");
+}
--- a/crates/millethook-bench/src/contestant.rs
+++ b/crates/millethook-bench/src/contestant.rs
@@ -331,6 +331,7 @@
     use std::os::unix::process::CommandExt;
     let config = config(discovery, |c| {
         c["begins"] = "head".into();
+        c["settings"]["failover"] = serde_json::json!({"copyAtAim": true, "slowExponent": 6.0});
         for class in c["settings"]["classes"].as_array_mut().into_iter().flatten() {
             class["aim"] = (AIM.as_micros() as u64).into();
             class["deadline"] = (DEADLINE.as_micros() as u64).into();
--- a/crates/millethook-bench/src/fleet.rs
+++ b/crates/millethook-bench/src/fleet.rs
@@ -34,11 +34,14 @@
     pub mean: Option<Duration>,
     /// It answers 500 at once.
     pub errs: bool,
+    /// It accepts, reads, and never answers.
+    pub silent: bool,
 }
 
 impl Work {
     /// It answers at once.
-    pub const INSTANT: Work = Work { places: usize::MAX >> 4, queue: 0, mean: None, errs: false };
+    pub const INSTANT: Work =
+        Work { places: usize::MAX >> 4, queue: 0, mean: None, errs: false, silent: false };
 
     /// Requests a second that it can do.
     pub fn capacity(&self) -> f64 {
@@ -65,6 +68,9 @@
             }
             response
         };
+        if self.work.silent {
+            std::future::pending::<()>().await;
+        }
         if self.work.errs {
             return reply(StatusCode::INTERNAL_SERVER_ERROR, b"");
         }
--- a/crates/millethook-bench/src/scenario.rs
+++ b/crates/millethook-bench/src/scenario.rs
@@ -12,8 +12,13 @@
 use crate::{Fault, load, pin};
 
 /// A server that is well: two places, 4 ms of work on the mean, so some 500 requests a second.
-const WELL: Work =
-    Work { places: 2, queue: 100, mean: Some(Duration::from_millis(4)), errs: false };
+const WELL: Work = Work {
+    places: 2,
+    queue: 100,
+    mean: Some(Duration::from_millis(4)),
+    errs: false,
+    silent: false,
+};
 const SERVERS: usize = 8;
 
 /// What goes wrong.
@@ -29,6 +34,8 @@
     Slow,
     /// One server of eight answers 500 at once, and so looks the quickest and emptiest.
     Errs,
+    /// One server of eight accepts, reads and never answers.
+    Silent,
     /// Three servers of ten are replaced by new ones, one after the other.
     Replaced,
 }
@@ -48,6 +55,7 @@
         match self {
             Scenario::Slow => works[0].mean = Some(Duration::from_millis(40)),
             Scenario::Errs => works[0].errs = true,
+            Scenario::Silent => works[0].silent = true,
             _ => {}
         }
         works
@@ -61,7 +69,8 @@
             _ => 0.5,
         };
         // What a sick server does not do is not counted on.
-        let well = self.works().iter().filter(|w| !w.errs && w.mean == WELL.mean).count();
+        let well =
+            self.works().iter().filter(|w| !w.errs && !w.silent && w.mean == WELL.mean).count();
         share * WELL.capacity() * well as f64
     }
 }
--- a/crates/millethook/src/config.rs
+++ b/crates/millethook/src/config.rs
@@ -310,6 +310,7 @@
                        "maxAttempts": 4, "mayDuplicate": true, "retryAfter": true,
                        "maxRetryAfter": 2_000_000},
             "report": {"columns": ["q", "rif"], "how": "piggyback"},
+            "failover": {"copyAtAim": true, "slowExponent": 6.0},
             "rules": {"answerSlack": 8000, "cold": 20_000_000, "coldShare": 0.2,
                       "fallMultiple": 3.0, "mustAskIn": 10_000_000, "stopSendingWithin": 500_000,
                       "tipAfter": 2_000_000},
@@ -415,6 +416,15 @@
         self
     }
 
+    /// Whether a safe or keyed request gets another attempt once its aim is over and its server has said nothing
+    /// since the request went there (yes, if not set): a server that accepts and never answers costs an aim, not
+    /// the request. Such attempts are within the retry budget (a tenth of the requests), and none is made in an
+    /// overload. A request that must not run twice is never sent again for this.
+    pub fn copy_at_aim(mut self, copy: bool) -> FleetBuilder {
+        self.settings["failover"]["copyAtAim"] = copy.into();
+        self
+    }
+
     /// The most connections to one server (1,024 if not set).
     pub fn connections_per_server(mut self, most: usize) -> FleetBuilder {
         self.connections["per_server"] = most.into();
--- a/crates/millethook/tests/library/any_server/closing.rs
+++ b/crates/millethook/tests/library/any_server/closing.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use millethook::{Begins, Fleet};
+use millethook::{Begins, ClassConfig, Execution, Fleet, FleetConfig};
 use millethook_testkit::*;
 
 use super::early::{End, check, orders};
@@ -97,3 +97,39 @@
     let served = ends.iter().filter(|end| **end == End::Served).count();
     assert!(served >= 16, "{ends:?}");
 }
+
+/// A server that accepts and never answers. What may be sent again gets another attempt at its aim; what must
+/// not run twice fails when its time is up, and is never sent again.
+#[test]
+fn a_server_that_accepts_and_never_answers_costs_an_aim() {
+    let stage = Stage::new(3, |attempt| match attempt.server {
+        0 => Fault::Stall,
+        _ => Fault::Serve(path(&attempt.message.first)),
+    });
+    // Their deadline is as good as never: what is served by then was not served by waiting for it.
+    let (aim, never) = (Duration::from_millis(100), Duration::from_secs(600));
+    let mut config = FleetConfig::builder(&name())
+        .class(ClassConfig::safe("look", aim, never))
+        .class(ClassConfig::keyed("keep", aim, never, Duration::from_secs(60)))
+        .class(ClassConfig::at_most_once("order", aim, Duration::from_secs(2)));
+    for (i, server) in stage.servers.iter().enumerate() {
+        config = config.server(&format!("s-{i}"), server.address);
+    }
+    let fleet = Fleet::open(config.build().expect("sound")).expect("open");
+    runtime().block_on(async {
+        for class in ["look", "keep"] {
+            for _ in 0..30 {
+                let answer = fleet.call(timed(class, never)).await.expect("served");
+                assert_eq!(answer.status(), 200);
+            }
+        }
+        for _ in 0..6 {
+            let ended = fleet.call(timed("order", Duration::from_secs(1))).await;
+            assert!(ended.is_ok() || ended.is_err_and(|e| e.execution() == Execution::MayHaveRun));
+        }
+    });
+    let seen = stage.seen();
+    assert!(seen.iter().any(|a| a.server == 0), "the silent one was met");
+    let orders = seen.iter().filter(|a| a.line.starts_with("POST /order")).count();
+    assert!(orders <= 6, "an order ran twice: {orders} attempts of 6");
+}
