--- a/crates/millethook-engine/src/upstream/connection.rs
+++ b/crates/millethook-engine/src/upstream/connection.rs
@@ -1,12 +1,12 @@
 //! One connection to a server: its socket, and the bytes of an answer that are not yet used.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::pin::{Pin, pin};
+use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
@@ -14,16 +14,16 @@
 use millethook_connect::Exchange;
 use millethook_connect::pool::Look;
 use socket2::SockRef;
-use tokio::io::{AsyncReadExt, AsyncWrite, Interest};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use super::Upstream;
 use crate::budget::Permit;
 
-/// Room for so many bytes is made before a read. More than an ordinary answer, so that one read tells
-/// that there is nothing more.
-const READ: usize = 4 << 10;
+/// The most bytes of one read. More than an ordinary answer, so that one read tells that there is
+/// nothing more.
+const READ: usize = 16 << 10;
 
 /// Calls to the system on connections, in numbers since the start. What found nothing to read is not
 /// seen here.
@@ -37,26 +37,38 @@
     pub reads: u64,
 }
 
-/// Counts calls of all connections of an engine.
-#[derive(Debug, Default)]
-pub(super) struct Counter(Cell<Calls>);
+/// What all connections of an engine share: counts of their calls, and the buffer for their reads.
+///
+/// Each read goes to the same buffer and is copied from there, so that a connection holds what came and
+/// no more. Room of its own for each read cost an allocation too large for the allocator's caches.
+#[derive(Debug)]
+pub(super) struct Shared {
+    calls: Cell<Calls>,
+    read: RefCell<Box<[u8]>>,
+}
 
-impl Counter {
-    pub fn get(&self) -> Calls {
-        self.0.get()
+impl Default for Shared {
+    fn default() -> Shared {
+        Shared { calls: Cell::default(), read: RefCell::new(vec![0; READ].into()) }
+    }
+}
+
+impl Shared {
+    pub fn calls(&self) -> Calls {
+        self.calls.get()
     }
 
     fn add(&self, of: fn(&mut Calls) -> &mut u64) {
-        let mut calls = self.0.get();
+        let mut calls = self.calls.get();
         *of(&mut calls) += 1;
-        self.0.set(calls);
+        self.calls.set(calls);
     }
 }
 
 /// A connection. Dropping it closes it.
 pub(super) struct Connection {
     socket: TcpStream,
-    counter: Rc<Counter>,
+    shared: Rc<Shared>,
     /// What has come and is not yet used.
     pub buf: BytesMut,
     dial: SocketAddr,
@@ -68,14 +80,14 @@
     pub async fn open(
         dial: SocketAddr,
         permit: Permit,
-        counter: Rc<Counter>,
+        shared: Rc<Shared>,
         patience: Duration,
     ) -> Option<(Connection, Duration)> {
         let began = Instant::now();
         let socket = timeout(patience, TcpStream::connect(dial)).await.ok()?.ok()?;
         let took = began.elapsed();
         socket.set_nodelay(true).ok()?;
-        Some((Connection { socket, counter, buf: BytesMut::new(), dial, _permit: permit }, took))
+        Some((Connection { socket, shared, buf: BytesMut::new(), dial, _permit: permit }, took))
     }
 
     /// How it is at this moment, while it rests; `dial` is where its server is.
@@ -86,7 +98,7 @@
         if self.dial != dial {
             return Look::Moved;
         }
-        self.counter.add(|calls| &mut calls.looks);
+        self.shared.add(|calls| &mut calls.looks);
         self.peek(|look| look())
     }
 
@@ -124,19 +136,19 @@
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.socket).poll_write_vectored(cx, slices);
         if written.is_ready() {
-            self.counter.add(|calls| &mut calls.writes);
+            self.shared.add(|calls| &mut calls.writes);
         }
         written
     }
 
     /// Reads some bytes into the buffer; 0: the server sends no more.
     pub fn poll_read(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
-        self.buf.reserve(READ);
-        let read = pin!(self.socket.read_buf(&mut self.buf)).poll(cx);
-        if read.is_ready() {
-            self.counter.add(|calls| &mut calls.reads);
-        }
-        read
+        let mut room = self.shared.read.borrow_mut();
+        let mut room = ReadBuf::new(&mut room);
+        ready!(Pin::new(&mut self.socket).poll_read(cx, &mut room))?;
+        self.shared.add(|calls| &mut calls.reads);
+        self.buf.extend_from_slice(room.filled());
+        Poll::Ready(Ok(room.filled().len()))
     }
 }
 
--- a/crates/millethook-engine/src/upstream/mod.rs
+++ b/crates/millethook-engine/src/upstream/mod.rs
@@ -28,7 +28,7 @@
 
 pub use attempt::{AttemptOutcome, AttemptRequest, Head};
 pub use connection::Calls;
-use connection::{Connection, Counter, Lease};
+use connection::{Connection, Lease, Shared};
 pub use streaming::StreamingResponse;
 
 /// How long an attempt may wait for a connection: for a socket that others hold, for a handshake of
@@ -60,7 +60,7 @@
     starved: Cell<usize>,
     /// Whom connections at rest wake.
     watcher: RefCell<Waker>,
-    counter: Rc<Counter>,
+    shared: Rc<Shared>,
     figures: Rc<Figures>,
 }
 
@@ -80,7 +80,7 @@
             waiting: RefCell::default(),
             starved: Cell::new(0),
             watcher: RefCell::new(Waker::noop().clone()),
-            counter: Rc::default(),
+            shared: Rc::default(),
             figures,
         });
         spawn_local(upstream.clone().watch());
@@ -128,7 +128,7 @@
 
     /// Calls to the system on connections so far.
     pub fn calls(&self) -> Calls {
-        self.counter.get()
+        self.shared.calls()
     }
 
     /// Why connections ended.
@@ -265,7 +265,7 @@
                     Connection::open(
                         dial,
                         permit,
-                        upstream.counter.clone(),
+                        upstream.shared.clone(),
                         upstream.config.connect_timeout,
                     )
                     .await
@@ -298,7 +298,7 @@
         patience: Duration,
     ) -> Option<Connection> {
         let (connection, took) =
-            Connection::open(dial, permit, self.upstream.counter.clone(), patience).await?;
+            Connection::open(dial, permit, self.upstream.shared.clone(), patience).await?;
         self.took = Some(took);
         Some(connection)
     }
