Keep the list of servers over restarts, weighed by its age (membership)

Need: after a power cut a sidecar without known served nothing while discovery was down, and one with an old list sent requests to whatever had its addresses by then.

Change: millethook-membership (no I/O) takes lists of all sources and believes in a server by its age and by how fast the fleet's list changed; doubtful ones get trials and no request. All of it is off without the file. Looking for free slots in the decisions' list starts where the last one was found: it was quadratic.

--- a/crates/coppercart/src/decide/servers.rs
+++ b/crates/coppercart/src/decide/servers.rs
@@ -40,13 +40,16 @@
                 }
             }
         }
+        // Danger: looked for from the start for each entry, free slots cost a list of 50,000 seconds.
+        let mut free = 0;
         for e in entries {
-            self.list_entry(e);
+            self.list_entry(e, &mut free);
         }
         self.choose_subset();
     }
 
-    fn list_entry(&mut self, e: &ServerEntry) {
+    /// Slots before `free` are taken, or were when this list began.
+    fn list_entry(&mut self, e: &ServerEntry, free: &mut Slot) {
         let power = if e.power.is_finite() && e.power > 0.0 { f64::from(e.power) } else { 1.0 };
         let slot = match self.by_id.get(&e.id) {
             Some(&slot) => slot,
@@ -54,9 +57,10 @@
             None => {
                 let fresh = Server::new(e);
                 // A slot whose server is gone and owes no outcome is used again.
-                let free =
-                    self.servers.iter().position(|s| s.health == Health::Gone && s.in_flight == 0);
-                let slot = match free {
+                let mut left = self.servers[*free..].iter();
+                let found = left.position(|s| s.health == Health::Gone && s.in_flight == 0);
+                *free = found.map_or(self.servers.len(), |n| *free + n);
+                let slot = match found.map(|_| *free) {
                     Some(slot) => {
                         self.by_id.remove(&self.servers[slot].id);
                         self.servers[slot] = fresh;
--- a/crates/millethook-admin/src/lib.rs
+++ b/crates/millethook-admin/src/lib.rs
@@ -53,7 +53,7 @@
         let socket = match listener.accept().await {
             Ok((socket, _)) => socket,
             Err(e) => {
-                tracing::warn!("admin: accept: {e}");
+                tracing::warn!(event = "accept_failed", "admin: accept: {e}");
                 sleep(PAUSE).await;
                 continue;
             }
--- a/crates/millethook-bench/src/contestant.rs
+++ b/crates/millethook-bench/src/contestant.rs
@@ -87,7 +87,10 @@
         let mut child = command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn()?;
         let log = child.stderr.take().ok_or("no standard error")?;
         let mut lines = BufReader::new(log).lines().map_while(Result::ok);
-        let at = lines.find_map(|line| line.trim().rsplit_once("listens on ")?.1.parse().ok());
+        let at = lines.find_map(|line| {
+            let at = line.rsplit_once("listens on ")?.1;
+            at.split_whitespace().next()?.parse().ok()
+        });
         let running = Running { child, at: at.ok_or("it ended before it listened")? };
         std::thread::spawn(move || lines.for_each(drop));
         // Its list of servers has to be there, too.
--- a/crates/millethook-bench/src/main.rs
+++ b/crates/millethook-bench/src/main.rs
@@ -5,6 +5,7 @@
 //!     target/release/millethook-bench cost        # what a request costs, closed loop
 //!     target/release/millethook-bench faults      # what callers see, open loop, faults
 //!     target/release/millethook-bench memory      # what connections at rest hold
+//!     target/release/millethook-bench starts      # a start with an old list, discovery down
 //!     target/release/millethook-bench failures    # which failures of connections cost an order
 //!
 //! Everything runs on loopback, and every load stops by itself.
@@ -19,6 +20,7 @@
 mod pin;
 mod report;
 mod scenario;
+mod starts;
 
 use std::path::PathBuf;
 
@@ -80,6 +82,12 @@
         #[arg(long, default_value_t = 400)]
         orders: usize,
     },
+    /// A start while discovery is down, with a list of 20 days ago.
+    Starts {
+        /// For how many seconds discovery is down.
+        #[arg(long, default_value_t = 5)]
+        down: u64,
+    },
     /// What connections cost in memory (library).
     Memory {
         /// Requests held at once; as many descriptors are needed here and there.
@@ -111,6 +119,7 @@
             scenario::run(seconds, &scenarios, &Contestant::or_all(contestants), seed, out)
         }
         Command::Failures { orders } => failures::run(orders),
+        Command::Starts { down } => starts::run(std::time::Duration::from_secs(down)),
         Command::Memory { connections } => memory::run(connections),
         Command::Hold { connections, servers } => memory::hold(connections, &servers),
         Command::Serve { contestant, discovery } => contestant::serve(contestant, discovery),
--- /dev/null
+++ b/crates/millethook-config/tests/file.rs
@@ -0,0 +1,105 @@
+//! The file as people write it, with and without mistakes.
+
+use millethook_config::{Failover, Fault, LogFormat, Membership, Product};
+use proptest::prelude::*;
+
+/// The reference that is shipped.
+const REFERENCE: &str = include_str!("../../../deploy/millethook.toml");
+
+fn faults(text: &str) -> Vec<String> {
+    Product::from_toml(text).expect_err("unsound").iter().map(Fault::to_string).collect()
+}
+
+#[test]
+fn an_empty_file_turns_nothing_on() {
+    assert_eq!(Product::from_toml("").expect("sound"), Product::default());
+}
+
+/// The reference shows each key with its default; uncommented, it is what an empty section means.
+#[test]
+fn the_reference_is_sound_and_shows_the_defaults() {
+    assert_eq!(Product::from_toml(REFERENCE).expect("sound"), Product::default());
+    let uncommented: String = REFERENCE
+        .lines()
+        .filter_map(|l| l.strip_prefix("#~ ").or((!l.starts_with('#')).then_some(l)))
+        .flat_map(|line| [line, "\n"])
+        .collect();
+    let product = Product::from_toml(&uncommented).expect("sound");
+    let membership = product.membership.expect("a section");
+    assert!(membership.snapshot.is_some() && membership.identity_header.is_some());
+    let usual = Membership { snapshot: None, identity_header: None, ..membership };
+    assert_eq!(usual, Membership::default());
+    assert_eq!(product.failover, Some(Failover { copy_at_aim: true, slow_exponent: 6.0 }));
+    assert_eq!(product.log.format, LogFormat::Text);
+}
+
+#[test]
+fn all_faults_are_told_at_once_each_with_its_line() {
+    let text = "\
+[log]
+format = \"xml\"
+
+[membership]
+snapshot = 7
+usable_above = 1.5
+dropped_belw = 0.1
+trials_at_once = 0
+trial_page = \"health\"
+identity_header = \"X Name\"
+suspect_hold_s = -1
+
+[conections]
+per_server = 3
+";
+    let told = faults(text);
+    let expected = [
+        "line 2: log.format: \"text\" or \"json\" expected, not \"xml\"",
+        "line 5: membership.snapshot: a path expected, not 7",
+        "line 6: membership.usable_above: a share from 0 to 1 expected, not 1.5",
+        "line 7: membership.dropped_belw: no such key",
+        "line 8: membership.trials_at_once: a whole number from 1 to 256 expected, not 0",
+        "line 9: membership.trial_page: a path that begins with / expected, not \"health\"",
+        "line 10: membership.identity_header: a header's name expected, not \"X Name\"",
+        "line 11: membership.suspect_hold_s: seconds from 0 to 86400 expected, not -1",
+        "line 13: conections: no such section or key",
+    ];
+    assert_eq!(told, expected);
+}
+
+#[test]
+fn keys_that_contradict_each_other_are_a_fault_of_the_second() {
+    let told = faults("[membership]\nusable_above = 0.5\n\ndropped_below = 0.6\n");
+    assert_eq!(
+        told,
+        ["line 4: membership.dropped_below: 0.5 at most expected, as usable_above says"]
+    );
+}
+
+#[test]
+fn what_is_no_toml_is_told_with_its_line() {
+    let told = faults("[log]\nformat = \n");
+    assert!(told.len() == 1 && told[0].starts_with("line 2: "), "{told:?}");
+    assert_eq!(faults("log = 3"), ["line 1: log: a section [log] expected"]);
+}
+
+proptest! {
+    /// Whatever stands in a file, it is read or told; nothing else happens.
+    #[test]
+    fn no_text_brings_the_reader_down(text in "\\PC{0,200}") {
+        let _ = Product::from_toml(&text);
+    }
+
+    #[test]
+    fn no_change_of_the_reference_brings_the_reader_down(
+        at in any::<prop::sample::Index>(),
+        with in "[\\x00-\\x7f]{0,3}",
+    ) {
+        let plain = REFERENCE.replace("#~ ", "");
+        let mut text: String = plain.chars().filter(char::is_ascii).collect();
+        let at = at.index(text.len());
+        text.replace_range(at..at + 1, &with);
+        if let Err(faults) = Product::from_toml(&text) {
+            prop_assert!(!faults.is_empty() && faults.iter().all(|f| f.line >= 1));
+        }
+    }
+}
--- a/crates/millethook-engine/src/discovery.rs
+++ b/crates/millethook-engine/src/discovery.rs
@@ -99,7 +99,10 @@
                             tokio::time::sleep(AGAIN / 5).await;
                         }
                     }
-                    None => tokio::time::sleep(AGAIN).await,
+                    None => {
+                        news.discovery_failed();
+                        tokio::time::sleep(AGAIN).await;
+                    }
                 },
                 call = calls.recv() => {
                     whole |= call == Some(Call::Fetch);
--- a/crates/millethook-engine/src/driver/mod.rs
+++ b/crates/millethook-engine/src/driver/mod.rs
@@ -178,7 +178,7 @@
                     peers.tell(peer, &data);
                 }
             }
-            Action::Log { text } => tracing::info!("{text}"),
+            Action::Log { text } => tracing::info!(event = "decisions", "{text}"),
         }
     }
 
--- a/crates/millethook-engine/src/engine.rs
+++ b/crates/millethook-engine/src/engine.rs
@@ -20,6 +20,7 @@
 use crate::discovery::Discovery;
 use crate::driver::Driver;
 use crate::figures::Figures;
+use crate::keeper::{Keeper, KeeperConfig};
 use crate::list::List;
 use crate::names::Names;
 use crate::news::PeerSender;
@@ -40,6 +41,8 @@
     pub known: Option<List>,
     /// When servers may begin with a request.
     pub begins: Begins,
+    /// How the list of servers outlives the process; None: what sources say is taken as it comes.
+    pub keeper: Option<(String, KeeperConfig)>,
     /// What bounds connections to servers; `settings` tells how long they may rest.
     pub connections: Limits,
     /// The other sidecars, where there is a way to them.
@@ -72,6 +75,8 @@
     tried: Rc<Notify>,
     discovery: Option<watch::Sender<SocketAddr>>,
     peers: Option<Rc<Peers>>,
+    /// Where the list of servers is kept, if it is.
+    pub keeper: Option<Rc<Keeper>>,
 }
 
 impl Engine {
@@ -112,13 +117,17 @@
             config.settings,
             config.seed,
             names.clone(),
-            upstream,
+            upstream.clone(),
             to_discovery,
             teller,
             figures.clone(),
         );
         let version = config.known.as_ref().map_or(0, |known| known.seq);
-        if let Some(known) = &config.known {
+        let keeper = config.keeper.filter(|_| config.discovery.is_some()).map(|(fleet, keeper)| {
+            let (driver, known) = (driver.clone(), config.known.as_ref());
+            Keeper::start(driver, upstream, keeper, &fleet, config.seed, known)
+        });
+        if let Some(known) = config.known.as_ref().filter(|_| keeper.is_none()) {
             let remembered = config.discovery.is_some();
             let kind = if remembered { ListKind::Remembered } else { ListKind::Whole };
             driver.servers(kind, known);
@@ -127,14 +136,18 @@
         // Danger: where discovery is asked, thousands of sidecars that start together ask one after the other
         // over some seconds, and it may turn many away. Whoever has a list from before serves by it meanwhile:
         // servers that are gone refuse, and the first answer puts the list right.
-        if how == How::Asked && config.known.as_ref().is_some_and(|known| !known.hosts.is_empty()) {
+        let listed = config.known.as_ref().is_some_and(|known| !known.hosts.is_empty());
+        if how == How::Asked && listed || keeper.is_some() && driver.listed() {
             tried.notify_one();
         }
         let discovery = match config.discovery {
             Some(at) => {
                 let (discovery, moves) = watch::channel(at);
                 let watching = Discovery::new(moves, how, version, tried.clone());
-                spawn_local(watching.run(driver.clone(), calls));
+                match keeper.clone() {
+                    Some(keeper) => spawn_local(watching.run(keeper, calls)),
+                    None => spawn_local(watching.run(driver.clone(), calls)),
+                };
                 Some(discovery)
             }
             None => {
@@ -155,6 +168,7 @@
             tried,
             discovery,
             peers,
+            keeper,
         })
     }
 
--- a/crates/millethook-engine/src/lib.rs
+++ b/crates/millethook-engine/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod driver;
 mod engine;
 pub mod figures;
-pub mod list;
+pub mod keeper;
 pub mod names;
 pub mod news;
 pub mod peers;
@@ -17,4 +17,6 @@
 pub mod upload;
 pub mod upstream;
 
+pub use millethook_membership::list;
+
 pub use engine::{Engine, EngineConfig, PeerConfig};
--- a/crates/millethook-engine/src/names.rs
+++ b/crates/millethook-engine/src/names.rs
@@ -14,12 +14,7 @@
 /// requests; a report that says so is none.
 const REPORTED: std::ops::RangeInclusive<f32> = 0.0..=1e6;
 
-/// The same number for the same bytes in every build and at every sidecar (FNV-1a).
-pub fn stable_hash(bytes: &[u8]) -> u64 {
-    bytes
-        .iter()
-        .fold(0xcbf2_9ce4_8422_2325, |h, &b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
-}
+pub use millethook_membership::list::stable_hash;
 
 /// A class as it is met on sockets.
 #[derive(Clone, Copy, Debug)]
--- a/crates/millethook-engine/src/upstream/attempt.rs
+++ b/crates/millethook-engine/src/upstream/attempt.rs
@@ -99,10 +99,9 @@
 
 impl AttemptRequest {
     /// A request for one of a server's own pages.
-    pub(super) fn page(path: &'static str, patience: Duration) -> AttemptRequest {
-        let target = Uri::from_static(path);
+    pub(super) fn page(path: &Uri, patience: Duration) -> AttemptRequest {
         AttemptRequest {
-            encoded: EncodedRequest::new(&Method::GET, &target, &HeaderMap::new(), Vec::new()),
+            encoded: EncodedRequest::new(&Method::GET, path, &HeaderMap::new(), Vec::new()),
             own_page: true,
             repeatable: true,
             streaming: false,
--- a/crates/millethook-engine/src/upstream/mod.rs
+++ b/crates/millethook-engine/src/upstream/mod.rs
@@ -29,6 +29,7 @@
 pub use attempt::{AttemptOutcome, AttemptRequest, Head};
 pub use connection::Calls;
 use connection::{Connection, Lease, Shared};
+pub use probe::TrialPage;
 pub use streaming::StreamingResponse;
 
 /// How long an attempt may wait for a connection: for a socket that others hold, for a handshake of
--- a/crates/millethook-engine/src/upstream/probe.rs
+++ b/crates/millethook-engine/src/upstream/probe.rs
@@ -5,12 +5,23 @@
 use std::time::{Duration, Instant};
 
 use coppercart::api::{LoadReport, Outcome, ServerId};
-use http::StatusCode;
+use http::{HeaderName, StatusCode, Uri};
+use millethook_membership::TrialOutcome;
+use millethook_membership::list::Host;
 use tokio::time::timeout;
 
 use super::Upstream;
 use super::attempt::{AttemptOutcome, AttemptRequest};
 
+/// How a server of an old list shows that it is there.
+#[derive(Clone, Debug)]
+pub struct TrialPage {
+    /// A page that it answers 200, without any effect.
+    pub path: Uri,
+    /// The header in which it tells its name; None: any 200 will do.
+    pub identity: Option<HeaderName>,
+}
+
 impl Upstream {
     /// Asks a server how it is.
     pub async fn probe(
@@ -19,9 +30,9 @@
         dial: SocketAddr,
         with_report: bool,
     ) -> (Outcome, LoadReport) {
-        let path = if with_report { "/stats" } else { "/health/live" };
+        let path = Uri::from_static(if with_report { "/stats" } else { "/health/live" });
         let patience = self.config.connect_timeout;
-        let request = Rc::new(AttemptRequest::page(path, patience));
+        let request = Rc::new(AttemptRequest::page(&path, patience));
         let until = Instant::now() + patience;
         let asked = self.attempt(server, dial, &request, until);
         let asked = timeout(patience + Duration::from_secs(1), asked).await;
@@ -35,4 +46,36 @@
         let text = answer.map(|(_, body)| String::from_utf8_lossy(&body).into_owned());
         (outcome, text.map(|text| self.names.report(&text)).unwrap_or_default())
     }
+
+    /// Tries a server of an old list: whether somebody listens there, and whether it is that server.
+    ///
+    /// Danger: its address may be another program's by now. The request is a `GET` of a page without effect, and
+    /// nobody's request goes there before this has been answered.
+    pub async fn identify(self: &Rc<Upstream>, host: &Host, trial: &TrialPage) -> TrialOutcome {
+        let Some(dial) = host.dial else { return TrialOutcome::Refused };
+        let (patience, began) = (self.config.connect_timeout, Instant::now());
+        let request = Rc::new(AttemptRequest::page(&trial.path, patience));
+        let asked = self.attempt(host.id(), dial, &request, began + 2 * patience);
+        let Ok(AttemptOutcome::End { outcome, answer, .. }) = timeout(2 * patience, asked).await
+        else {
+            return TrialOutcome::Silent;
+        };
+        match (outcome, answer) {
+            (Outcome::Served, Some((head, _))) if head.status == StatusCode::OK => {
+                let named = trial.identity.as_ref().map(|name| head.headers.get(name));
+                match named {
+                    Some(Some(name)) if name.as_bytes() == host.host.as_bytes() => {
+                        TrialOutcome::Answered
+                    }
+                    Some(_) => TrialOutcome::Stranger,
+                    None => TrialOutcome::Answered,
+                }
+            }
+            // A handshake that never comes up ends like one that is refused, but later.
+            (Outcome::ConnectFailed, _) if began.elapsed() >= patience => TrialOutcome::Silent,
+            (Outcome::ConnectFailed, _) => TrialOutcome::Refused,
+            (Outcome::Moot | Outcome::TimedOut | Outcome::Cancelled, _) => TrialOutcome::Silent,
+            _ => TrialOutcome::Stranger,
+        }
+    }
 }
--- a/crates/millethook-engine/tests/cost.rs
+++ b/crates/millethook-engine/tests/cost.rs
@@ -41,6 +41,7 @@
         begins: Begins::Head,
         connections: Limits::default(),
         peers: None,
+        keeper: None,
     };
     let sockets = Rc::new(Sockets::of_servers(ConnectionPermits::new(64)));
     Engine::start(config, sockets).await.expect("an engine")
--- a/crates/millethook-http/src/ingress.rs
+++ b/crates/millethook-http/src/ingress.rs
@@ -299,7 +299,7 @@
                 Err(e) => {
                     // Danger: an accept that fails for want of descriptors (or because the client
                     // is gone again) must not end accepting.
-                    tracing::warn!("accept: {e}");
+                    tracing::warn!(event = "accept_failed", "accept: {e}");
                     self.evict();
                     sleep(NO_DESCRIPTOR).await;
                 }
--- a/crates/millethook-engine/src/list.rs
+++ b/crates/millethook-membership/src/list.rs
@@ -3,12 +3,10 @@
 use std::net::SocketAddr;
 
 use coppercart::api::{Health, ServerId};
-use serde::Deserialize;
-
-use crate::names::stable_hash;
+use serde::{Deserialize, Serialize};
 
 /// A list of servers, or what changed in it, as discovery writes it.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct List {
     /// The version of the list.
     pub seq: u64,
@@ -19,7 +17,7 @@
 }
 
 /// One server of a list.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct Host {
     /// The name, the same at every sidecar.
     pub host: String,
@@ -45,7 +43,7 @@
 }
 
 /// What a list says of a server's process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Listed {
     /// It takes requests.
@@ -64,6 +62,13 @@
     1.0
 }
 
+/// The same number for the same bytes in every build and at every sidecar (FNV-1a).
+pub fn stable_hash(bytes: &[u8]) -> u64 {
+    bytes
+        .iter()
+        .fold(0xcbf2_9ce4_8422_2325, |h, &b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+}
+
 impl Host {
     /// The module's name for it.
     pub fn id(&self) -> ServerId {
--- a/crates/millethook-testkit/src/daemon.rs
+++ b/crates/millethook-testkit/src/daemon.rs
@@ -96,6 +96,13 @@
         sidecar
     }
 
+    /// Starts one with further variables, and waits until it listens.
+    pub fn launch_with(config: &Value, env: &[(&str, &str)]) -> Sidecar {
+        let (mut command, path) = command(&config.to_string());
+        command.envs(env.iter().copied());
+        Sidecar::spawn((command, path))
+    }
+
     /// Starts one and waits until it listens.
     pub fn launch(config: &Value) -> Sidecar {
         Sidecar::launch_program(&program("plankvale"), config)
@@ -126,10 +133,10 @@
             let mut line = String::new();
             assert_ne!(log.read_line(&mut line).unwrap(), 0, "the sidecar ended");
             if let Some((_, at)) = line.trim().split_once("operators call at ") {
-                admin = Some(at.parse().unwrap());
+                admin = Some(first_word(at).parse().unwrap());
             }
             if let Some((_, at)) = line.trim().split_once("listens on ") {
-                break at.parse().unwrap();
+                break first_word(at).parse().unwrap();
             }
         };
         let (tell, told) = channel();
@@ -208,6 +215,12 @@
         self.signal("-HUP");
     }
 
+    /// Ends it as planned; its exit code.
+    pub fn ends(&mut self) -> Option<i32> {
+        self.terminate();
+        self.exit_code()
+    }
+
     /// Waits for a line of its log that holds `text`.
     pub fn logged(&self, text: &str) {
         let log = self.log.lock().unwrap();
@@ -235,6 +248,11 @@
     }
 }
 
+/// A message's end: fields of its event follow.
+fn first_word(text: &str) -> &str {
+    text.split_whitespace().next().unwrap_or_default()
+}
+
 impl Drop for Sidecar {
     fn drop(&mut self) {
         let _ = self.child.kill();
--- a/crates/millethook/src/thread.rs
+++ b/crates/millethook/src/thread.rs
@@ -77,6 +77,7 @@
         begins: config.begins,
         connections: config.connections,
         peers: None,
+        keeper: None,
     };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     // The kernel cuts names of threads after fifteen bytes.
@@ -102,7 +103,7 @@
     let sockets = Rc::new(Sockets::of_servers(servers));
     let engine = match Engine::start(config, sockets).await {
         Ok(engine) => Rc::new(engine),
-        Err(e) => return tracing::error!("no engine: {e}"),
+        Err(e) => return tracing::error!(event = "engine_failed", "no engine: {e}"),
     };
     let ids = OpenIds::new(engine.longest_deadline());
     let ready = async {
--- a/crates/plankvale/src/config.rs
+++ b/crates/plankvale/src/config.rs
@@ -3,8 +3,10 @@
 
 use std::net::SocketAddr;
 use std::os::fd::RawFd;
+use std::path::Path;
 
-use coppercart::settings::Settings;
+use coppercart::settings::{Failover, Settings};
+use millethook_config::Product;
 use millethook_connect::Begins;
 use millethook_engine::list::List;
 use millethook_engine::names::Names;
@@ -48,6 +50,8 @@
     pub names: Names,
     /// All of the file.
     pub raw: Value,
+    /// The product's own configuration, beside it.
+    pub product: Product,
 }
 
 /// What a file may lack though the one before it had it.
@@ -77,8 +81,28 @@
 }
 
 impl Config {
-    /// Reads the configuration that the variables name.
-    pub fn from_env() -> Result<Config, String> {
+    /// Reads the configuration that the variables name, and the product's own file beside it.
+    ///
+    /// # Errors
+    /// Names the variable or the file, the key and what was expected.
+    pub fn from_env(product: Option<&Path>) -> Result<Config, String> {
+        let product = match product {
+            Some(path) => Product::from_file(path).map_err(|e| e.to_string())?,
+            None => Product::default(),
+        };
+        let mut config = Config::of_platform()?;
+        if let Some(failover) = &product.failover {
+            config.settings.failover = Failover {
+                copy_at_aim: failover.copy_at_aim,
+                slow_exponent: failover.slow_exponent,
+            };
+        }
+        config.product = product;
+        Ok(config)
+    }
+
+    /// Reads the platform's configuration.
+    fn of_platform() -> Result<Config, String> {
         let var = |key: &str| match std::env::var(key) {
             Ok(value) if !value.is_empty() => Ok(Some(value)),
             Ok(_) | Err(std::env::VarError::NotPresent) => Ok(None),
@@ -148,6 +172,7 @@
             settings,
             names,
             raw,
+            product: Product::default(),
         })
     }
 
--- /dev/null
+++ b/crates/plankvale/src/kept.rs
@@ -0,0 +1,49 @@
+//! What the product's file says of lists and connections, in the engine's terms.
+
+use http::{HeaderName, Uri};
+use millethook_config::{Membership, Product};
+use millethook_connect::pool::Limits;
+use millethook_engine::keeper::KeeperConfig;
+use millethook_engine::upstream::TrialPage;
+use millethook_membership::store::Store;
+
+/// How the list of servers is kept, if it is.
+///
+/// # Errors
+/// Names the key that makes no sense on a connection.
+pub fn keeper(product: &Product, name: &str) -> Result<Option<KeeperConfig>, String> {
+    let Some(of) = &product.membership else { return Ok(None) };
+    let path: Uri = of.trial_page.parse().map_err(|e| format!("membership.trial_page: {e}"))?;
+    let header = |name: &String| HeaderName::from_bytes(name.as_bytes());
+    let identity = of.identity_header.as_ref().map(header).transpose();
+    let identity = identity.map_err(|e| format!("membership.identity_header: {e}"))?;
+    Ok(Some(KeeperConfig {
+        weigh: weigh(of),
+        store: of.snapshot.as_ref().map(|path| Store::new(path, name)),
+        write_every: of.write_every,
+        trial: TrialPage { path, identity },
+    }))
+}
+
+fn weigh(of: &Membership) -> millethook_membership::Config {
+    millethook_membership::Config {
+        usable_above: of.usable_above,
+        dropped_below: of.dropped_below,
+        trials_per_second: of.trials_per_second,
+        trials_at_once: of.trials_at_once,
+        spread_ms: of.trial_spread.as_millis() as u64,
+        suspect_share: of.suspect_share,
+        suspect_hold_ms: of.suspect_hold.as_millis() as u64,
+    }
+}
+
+/// What bounds connections to one server.
+pub fn connections(product: &Product) -> Limits {
+    let (given, usual) = (&product.connections, Limits::default());
+    Limits {
+        per_server: given.per_server.unwrap_or(usual.per_server),
+        opening: given.opening.unwrap_or(usual.opening),
+        spare: given.spare.unwrap_or(usual.spare),
+        ..usual
+    }
+}
--- a/crates/plankvale/src/lib.rs
+++ b/crates/plankvale/src/lib.rs
@@ -2,7 +2,9 @@
 //! beside them, for as long as the process lives.
 #![forbid(unsafe_code)]
 
+pub mod cli;
 pub mod config;
+mod kept;
 mod operated;
 mod shutdown;
 mod succession;
@@ -14,7 +16,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use millethook_connect::pool::Limits;
 use millethook_engine::budget::{Bytes, Sockets};
 use millethook_engine::{Engine, EngineConfig, PeerConfig};
 use millethook_handover::inherited;
@@ -28,6 +29,7 @@
 use tokio::time::timeout;
 
 use config::Config;
+use millethook_config::Product;
 use operated::{Operated, Reloaded};
 
 /// Connections that may wait to be accepted: a crowd comes within a second.
@@ -35,6 +37,8 @@
 /// The share of the memory that bodies of requests may take.
 const BODIES: f64 = 0.4;
 
+/// How long the last write of the list of servers may hold up the end.
+const LAST_WRITE: Duration = Duration::from_secs(1);
 /// How long a process beside another one waits for a list of servers before it accepts clients.
 const UNLISTED: Duration = Duration::from_secs(1);
 
@@ -61,6 +65,8 @@
     };
     let seat = config.inherited.and_then(|_| succession::take_seat(&config.name));
     let Config { peers, peers_all: all, .. } = config;
+    let keeper = kept::keeper(&config.product, &config.name)?;
+    let connections = kept::connections(&config.product);
     let peers = config.peer_listen.map(|listen| PeerConfig { listen, peers, all });
     let sockets = Rc::new(Sockets::new(config.sockets));
     let engine = EngineConfig {
@@ -70,7 +76,8 @@
         discovery: Some(config.discovery),
         known: config.known,
         begins: config.begins,
-        connections: Limits::default(),
+        connections,
+        keeper: keeper.map(|keeper| (config.name.clone(), keeper)),
         peers,
     };
     let engine = Rc::new(Engine::start(engine, sockets).await?);
@@ -95,11 +102,11 @@
     let operated = Rc::new(Operated::new(ingress.clone(), engine.clone(), reloaded));
     if let Some(admin) = admin {
         let at = admin.local_addr().map_err(|e| format!("admin: {e}"))?;
-        tracing::info!("operators call at {at}");
+        tracing::info!(event = "admin_listening", "operators call at {at}");
         spawn_local(millethook_admin::serve(admin, operated.clone()));
     }
     let at = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
-    tracing::info!("{} listens on {at}", config.name);
+    tracing::info!(event = "listening", "{} listens on {at}", config.name);
     if let Some(seat) = seat.clone() {
         spawn_local(succession::adopt(seat, ingress.clone()));
     }
@@ -119,8 +126,16 @@
         () = stop => {}
     }
     operated.stopping();
+    // What is known at the end is kept, however the rest goes.
+    if let Some(keeper) = engine.keeper.clone() {
+        spawn_local(async move { keeper.save().await });
+    }
     if let Some(successor) = seat.and_then(|seat| seat.successor()) {
-        tracing::info!("{}: a successor goes on with clients' connections", config.name);
+        tracing::info!(
+            event = "handing_over",
+            "{}: a successor goes on with clients' connections",
+            config.name
+        );
         shutdown::hand_over(
             ingress,
             Rc::new(succession::Next(successor)),
@@ -133,16 +148,19 @@
         () = accepting => {}
         () = shutdown::drain(ingress, engine.longest_deadline()) => {}
     }
+    if let Some(keeper) = &engine.keeper {
+        let _ = timeout(LAST_WRITE, keeper.save()).await;
+    }
     Ok(())
 }
 
 /// What a configuration fixes for as long as the process lives.
-#[derive(PartialEq, Eq)]
 struct Inert {
     listen: SocketAddr,
     memory: usize,
     sockets: usize,
     peer_listen: Option<SocketAddr>,
+    product: Product,
 }
 
 impl Inert {
@@ -152,8 +170,25 @@
             memory: config.memory,
             sockets: config.sockets,
             peer_listen: config.peer_listen,
+            // Settings follow the file at once; the rest of it is read at the start.
+            product: Product { failover: None, ..config.product.clone() },
         }
     }
+
+    /// The keys in which `new` differs.
+    fn differences(&self, new: &Inert) -> Vec<&'static str> {
+        let (a, b) = (&self.product, &new.product);
+        let differs = [
+            ("listen", self.listen != new.listen),
+            ("limits.memory_mb", self.memory != new.memory),
+            ("limits.sockets", self.sockets != new.sockets),
+            ("peer_listen", self.peer_listen != new.peer_listen),
+            ("[log]", a.log != b.log),
+            ("[membership]", a.membership != b.membership),
+            ("[connections]", a.connections != b.connections),
+        ];
+        differs.into_iter().filter_map(|(key, differs)| differs.then_some(key)).collect()
+    }
 }
 
 /// Takes on new configurations: settings, where discovery is, and where the other sidecars are.
@@ -172,7 +207,10 @@
             let count = match config.and_then(|config| self.take(*config)) {
                 Ok(()) => &self.reloaded.applied,
                 Err(e) => {
-                    tracing::error!("the configuration stays as it was: {e}");
+                    tracing::error!(
+                        event = "reload_rejected",
+                        "the configuration stays as it was: {e}"
+                    );
                     &self.reloaded.rejected
                 }
             };
@@ -183,12 +221,17 @@
     /// Takes one configuration, or nothing of it.
     fn take(&mut self, config: Config) -> Result<(), String> {
         config.complete(&self.whole).map_err(|e| format!("LB_CONFIG: {e}"))?;
-        if Inert::of(&config) != self.inert {
-            tracing::warn!("new configuration: sockets and limits change at the next start only");
+        let kept = self.inert.differences(&Inert::of(&config)).join(", ");
+        if !kept.is_empty() {
+            tracing::warn!(event = "reload_in_part", keys = %kept, "these change at the next start only");
         }
         let names = self.engine.retune(config.settings, &config.raw["settings"])?;
         self.ingress.renamed(names);
-        tracing::info!("new configuration: discovery at {}", config.discovery);
+        tracing::info!(
+            event = "reload_applied",
+            "new configuration: discovery at {}",
+            config.discovery
+        );
         self.engine.moved(config.discovery, config.peers, config.peers_all);
         self.whole = config.raw;
         Ok(())
--- a/crates/plankvale/src/main.rs
+++ b/crates/plankvale/src/main.rs
@@ -1,17 +1,25 @@
 //! One real sidecar: reads its configuration, then runs until it is told to stop.
 #![forbid(unsafe_code)]
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
+use clap::Parser;
+use millethook_config::LogFormat;
 use plankvale::Reload;
+use plankvale::cli::Cli;
 use plankvale::config::Config;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::task::{LocalSet, spawn_local};
+use tracing_subscriber::EnvFilter;
 
 fn main() -> ExitCode {
-    tracing_subscriber::fmt().with_ansi(false).with_writer(std::io::stderr).init();
-    match run() {
+    let cli = Cli::parse();
+    if let Some(code) = cli.carry_out() {
+        return code;
+    }
+    match run(cli.product()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("plankvale: {e}");
@@ -20,8 +28,9 @@
     }
 }
 
-fn run() -> Result<(), String> {
-    let config = Config::from_env()?;
+fn run(product: Option<PathBuf>) -> Result<(), String> {
+    let config = Config::from_env(product.as_deref())?;
+    log(&config)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -30,7 +39,7 @@
         let mut told = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
         let changed = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
         let (to_sidecar, reloads) = mpsc::channel(1);
-        spawn_local(reload(changed, to_sidecar));
+        spawn_local(reload(product, changed, to_sidecar));
         let stop = async move {
             told.recv().await;
         };
@@ -38,10 +47,24 @@
     })
 }
 
+/// Writes log lines as the configuration says.
+fn log(config: &Config) -> Result<(), String> {
+    let log = &config.product.log;
+    let filter = EnvFilter::try_new(log.filter.as_deref().unwrap_or("info"));
+    let filter = filter.map_err(|e| format!("log.filter: {e}"))?;
+    let lines = tracing_subscriber::fmt().with_ansi(false).with_writer(std::io::stderr);
+    match log.format {
+        LogFormat::Text => lines.with_env_filter(filter).init(),
+        LogFormat::Json => lines.with_env_filter(filter).json().init(),
+    }
+    Ok(())
+}
+
 /// Reads the configuration anew at each SIGHUP. One that is not sound leaves the old one in force.
-async fn reload(mut changed: Signal, to_sidecar: mpsc::Sender<Reload>) {
+async fn reload(product: Option<PathBuf>, mut changed: Signal, to_sidecar: mpsc::Sender<Reload>) {
     while changed.recv().await.is_some() {
-        if to_sidecar.send(Config::from_env().map(Box::new)).await.is_err() {
+        let config = Config::from_env(product.as_deref()).map(Box::new);
+        if to_sidecar.send(config).await.is_err() {
             return;
         }
     }
--- a/crates/plankvale/src/operated.rs
+++ b/crates/plankvale/src/operated.rs
@@ -43,6 +43,19 @@
     fn metrics(&self) -> String {
         let mut lines = statsd::Lines::default();
         statsd::engine(&mut lines, &self.engine);
+        if let Some(keeper) = &self.engine.keeper {
+            let (counts, writes) = (keeper.counts(), keeper.writes());
+            lines.gauge("membership.live", counts.live);
+            lines.gauge("membership.remembered", counts.remembered);
+            lines.gauge("membership.doubtful", counts.doubtful);
+            lines.gauge("membership.held", usize::from(counts.held));
+            lines.count("membership.suspect_lists", counts.suspect_lists);
+            lines.count("membership.trials", counts.trials);
+            lines.count("membership.confirmed", counts.confirmed);
+            lines.count("membership.dropped", counts.dropped);
+            lines.count("membership.snapshots_written", writes.done);
+            lines.count("membership.snapshots_failed", writes.failed);
+        }
         lines.count("sighup_applied", self.reloaded.applied.get());
         lines.count("sighup_rejected", self.reloaded.rejected.get());
         lines.into_string()
--- a/crates/plankvale/src/succession.rs
+++ b/crates/plankvale/src/succession.rs
@@ -25,6 +25,7 @@
         Ok(seat) => Some(Rc::new(seat)),
         Err(e) => {
             tracing::warn!(
+                event = "handover_off",
                 "no connections can be passed on at an upgrade: {}: {e}",
                 path.display()
             );
@@ -39,7 +40,10 @@
         match seat.predecessor().await {
             Ok(predecessor) => drop(spawn_local(take_over(predecessor, ingress.clone()))),
             Err(e) => {
-                tracing::warn!("a process that wants to pass connections on: {e}");
+                tracing::warn!(
+                    event = "handover_failed",
+                    "a process that wants to pass connections on: {e}"
+                );
                 sleep(PAUSE).await;
             }
         }
@@ -57,12 +61,15 @@
             }
             Ok(None) => break,
             Err(e) => {
-                tracing::warn!("the process before this one: {e}");
+                tracing::warn!(event = "handover_failed", "the process before this one: {e}");
                 break;
             }
         }
     }
-    tracing::info!("went on with {taken} connections of the process before this one");
+    tracing::info!(
+        event = "took_over",
+        "went on with {taken} connections of the process before this one"
+    );
 }
 
 /// The process after this one, as clients' connections see it.
@@ -72,7 +79,7 @@
     fn pass(&self, connection: &TcpStream, asked: bool) -> bool {
         let passed = self.0.pass(connection, asked.into());
         if let Err(e) = &passed {
-            tracing::debug!("a connection stays here: {e}");
+            tracing::debug!(event = "connection_stays", "a connection stays here: {e}");
         }
         passed.is_ok()
     }
--- a/crates/plankvale/tests/sidecar/main.rs
+++ b/crates/plankvale/tests/sidecar/main.rs
@@ -5,6 +5,7 @@
 mod early;
 mod framing;
 mod large;
+mod membership;
 mod operators;
 mod outcomes;
 mod reload;
