--- a/crates/millethook-bench/src/main.rs
+++ b/crates/millethook-bench/src/main.rs
@@ -6,6 +6,7 @@
 //!     target/release/millethook-bench faults      # what callers see, open loop, faults
 //!     target/release/millethook-bench memory      # what connections at rest hold
 //!     target/release/millethook-bench starts      # a start with an old list, discovery down
+//!     target/release/millethook-bench lists       # what long lists of servers cost
 //!     target/release/millethook-bench failures    # which failures of connections cost an order
 //!
 //! Everything runs on loopback, and every load stops by itself.
@@ -15,6 +16,7 @@
 mod cost;
 mod failures;
 mod fleet;
+mod lists;
 mod load;
 mod memory;
 mod pin;
@@ -82,6 +84,12 @@
         #[arg(long, default_value_t = 400)]
         orders: usize,
     },
+    /// What lists of many servers cost the decisions.
+    Lists {
+        /// How many servers.
+        #[arg(long, value_delimiter = ',', default_value = "500,5000,50000")]
+        servers: Vec<usize>,
+    },
     /// A start while discovery is down, with a list of 20 days ago.
     Starts {
         /// For how many seconds discovery is down.
@@ -119,6 +127,7 @@
             scenario::run(seconds, &scenarios, &Contestant::or_all(contestants), seed, out)
         }
         Command::Failures { orders } => failures::run(orders),
+        Command::Lists { servers } => lists::run(&servers),
         Command::Starts { down } => starts::run(std::time::Duration::from_secs(down)),
         Command::Memory { connections } => memory::run(connections),
         Command::Hold { connections, servers } => memory::hold(connections, &servers),
--- a/crates/millethook-engine/src/engine.rs
+++ b/crates/millethook-engine/src/engine.rs
@@ -10,6 +10,7 @@
 use coppercart::settings::{Discovery as How, Settings};
 use millethook_connect::Begins;
 use millethook_connect::pool::Limits;
+use millethook_membership::Source;
 use serde_json::Value;
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::UdpSocket;
@@ -123,7 +124,7 @@
             figures.clone(),
         );
         let version = config.known.as_ref().map_or(0, |known| known.seq);
-        let keeper = config.keeper.filter(|_| config.discovery.is_some()).map(|(fleet, keeper)| {
+        let keeper = config.keeper.map(|(fleet, keeper)| {
             let (driver, known) = (driver.clone(), config.known.as_ref());
             Keeper::start(driver, upstream, keeper, &fleet, config.seed, known)
         });
@@ -203,6 +204,18 @@
         Ok(names)
     }
 
+    /// Takes a list of servers, or changes of it, that the application's own code knows. It is weighed like
+    /// discovery's, where lists are.
+    pub fn servers(&self, list: &List) {
+        match &self.keeper {
+            Some(keeper) => keeper.take(Source::Code, list),
+            None => {
+                let kind = if list.whole { ListKind::Whole } else { ListKind::Changes };
+                self.driver.servers(kind, list);
+            }
+        }
+    }
+
     /// Waits until discovery has first been tried.
     pub async fn discovery_tried(&self) {
         self.tried.notified().await;
--- a/crates/millethook-engine/src/keeper.rs
+++ b/crates/millethook-engine/src/keeper.rs
@@ -232,8 +232,24 @@
             (ListKind::Changes, false) | (ListKind::Whole | ListKind::Remembered, true) => list,
             _ => &List { whole: kind != ListKind::Changes, ..list.clone() },
         };
+        self.take(Source::Discovery, list);
+    }
+
+    fn discovery_failed(&self) {
+        self.membership.borrow_mut().source_lost(now());
+        self.driver.clone().discovery_failed();
+    }
+
+    fn note(&self, from: u32, data: &[u8]) {
+        MembershipSink::note(&self.driver, from, data);
+    }
+}
+
+impl Keeper {
+    /// Takes a list, or changes of it, from a live source.
+    pub(crate) fn take(&self, source: Source, list: &List) {
         let held = self.counts().held;
-        let update = self.membership.borrow_mut().take(now(), Source::Discovery, list);
+        let update = self.membership.borrow_mut().take(now(), source, list);
         let counts = self.counts();
         if counts.held && !held {
             tracing::warn!(
@@ -245,15 +261,6 @@
         }
         self.tell(update);
     }
-
-    fn discovery_failed(&self) {
-        self.membership.borrow_mut().source_lost(now());
-        self.driver.clone().discovery_failed();
-    }
-
-    fn note(&self, from: u32, data: &[u8]) {
-        MembershipSink::note(&self.driver, from, data);
-    }
 }
 
 fn now() -> UnixMs {
--- a/crates/millethook-engine/src/lib.rs
+++ b/crates/millethook-engine/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod names;
 pub mod news;
 pub mod peers;
+pub mod product;
 pub mod stream;
 pub mod upload;
 pub mod upstream;
--- a/crates/plankvale/src/kept.rs
+++ b/crates/millethook-engine/src/product.rs
@@ -1,12 +1,14 @@
-//! What the product's file says of lists and connections, in the engine's terms.
+//! What the product's file says, in the engine's terms. Daemon and library read it by the same functions.
 
+use coppercart::settings::{Failover, Settings};
 use http::{HeaderName, Uri};
 use millethook_config::{Membership, Product};
 use millethook_connect::pool::Limits;
-use millethook_engine::keeper::KeeperConfig;
-use millethook_engine::upstream::TrialPage;
 use millethook_membership::store::Store;
 
+use crate::keeper::KeeperConfig;
+use crate::upstream::TrialPage;
+
 /// How the list of servers is kept, if it is.
 ///
 /// # Errors
@@ -37,6 +39,14 @@
     }
 }
 
+/// Puts into the settings what the file says of decisions.
+pub fn retune(product: &Product, settings: &mut Settings) {
+    if let Some(of) = &product.failover {
+        settings.failover =
+            Failover { copy_at_aim: of.copy_at_aim, slow_exponent: of.slow_exponent };
+    }
+}
+
 /// What bounds connections to one server.
 pub fn connections(product: &Product) -> Limits {
     let (given, usual) = (&product.connections, Limits::default());
--- a/crates/millethook/src/config.rs
+++ b/crates/millethook/src/config.rs
@@ -9,10 +9,13 @@
 use std::time::Duration;
 
 use coppercart::settings::Settings;
+use millethook_config::Product;
 use millethook_connect::Begins;
 use millethook_connect::pool::Limits;
+use millethook_engine::keeper::KeeperConfig;
 use millethook_engine::list::List;
 use millethook_engine::names::Names;
+use millethook_engine::product;
 use serde::Deserialize;
 use serde_json::{Value, json};
 
@@ -94,6 +97,7 @@
     pub(crate) known: Option<List>,
     pub(crate) begins: Begins,
     pub(crate) connections: Limits,
+    pub(crate) keeper: Option<KeeperConfig>,
     pub(crate) settings: Settings,
     pub(crate) names: Arc<Names>,
     pub(crate) sockets: usize,
@@ -219,6 +223,7 @@
             known: file.known,
             begins,
             connections,
+            keeper: None,
             settings,
             names: Arc::new(names),
             sockets: at_least("sockets", limits.sockets.unwrap_or(SOCKETS), 1)?,
@@ -235,6 +240,31 @@
         self
     }
 
+    /// Adds what the product's own file says: how the list of servers is kept, limits on connections, what is
+    /// done about slow servers. `[log]` is the host's affair and passed over. Limits that the file names go
+    /// before those set in code.
+    ///
+    /// # Errors
+    /// Names the file, and each key that is wrong with its line.
+    pub fn with_product(mut self, path: impl AsRef<Path>) -> Result<FleetConfig, OpenError> {
+        let product = Product::from_file(path.as_ref());
+        let product = product.map_err(|e| OpenError::Config(e.to_string()))?;
+        let keeper = product::keeper(&product, &self.name).map_err(OpenError::Config)?;
+        self.keeper = keeper;
+        let given = &product.connections;
+        let usual = self.connections;
+        self.connections = Limits {
+            per_server: given.per_server.unwrap_or(usual.per_server),
+            opening: given.opening.unwrap_or(usual.opening),
+            spare: given.spare.unwrap_or(usual.spare),
+            ..usual
+        };
+        product::retune(&product, &mut self.settings);
+        // Another opening of the fleet has to have the same file.
+        self.given["product"] = format!("{product:?}").into();
+        Ok(self)
+    }
+
     /// The fleet's name.
     pub fn name(&self) -> &str {
         &self.name
--- a/crates/millethook/src/fleet.rs
+++ b/crates/millethook/src/fleet.rs
@@ -374,6 +374,10 @@
         Drained { unanswered }
     }
 
+    pub(crate) fn command(&self, command: Command) -> Result<(), Command> {
+        self.shared().commands.send(command).map_err(|unsent| unsent.0)
+    }
+
     /// What the fleet has under way and holds. None: it has ended.
     pub async fn usage(&self) -> Option<Usage> {
         let shared = self.shared();
--- a/crates/millethook/src/thread.rs
+++ b/crates/millethook/src/thread.rs
@@ -8,6 +8,7 @@
 
 use millethook_engine::budget::{ConnectionPermits, Sockets};
 use millethook_engine::driver::{Driver, Reply, RequestHead, Usage};
+use millethook_engine::list::List;
 use millethook_engine::upstream::AttemptRequest;
 use millethook_engine::{Engine, EngineConfig};
 use millethook_http::guard::OpenIds;
@@ -33,6 +34,7 @@
 pub(crate) enum Command {
     Call(Box<Call>),
     Usage(oneshot::Sender<Usage>),
+    Servers(List),
     Stop,
 }
 
@@ -77,7 +79,7 @@
         begins: config.begins,
         connections: config.connections,
         peers: None,
-        keeper: None,
+        keeper: config.keeper.clone().map(|keeper| (config.name.clone(), keeper)),
     };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     // The kernel cuts names of threads after fifteen bytes.
@@ -119,6 +121,7 @@
                     spawn_local(serve(engine.driver.clone(), ids.clone(), *call));
                 }
                 Command::Usage(to) => drop(to.send(engine.driver.usage())),
+                Command::Servers(list) => engine.servers(&list),
                 Command::Stop => return,
             }
         }
@@ -127,6 +130,9 @@
         () = serving => {}
         () = ready => {}
     }
+    if let Some(keeper) = &engine.keeper {
+        keeper.save().await;
+    }
 }
 
 async fn serve(driver: Rc<Driver>, ids: Rc<OpenIds>, call: Call) {
--- a/crates/millethook/tests/library/main.rs
+++ b/crates/millethook/tests/library/main.rs
@@ -4,6 +4,7 @@
 mod cancel;
 mod common;
 mod interleavings;
+mod members;
 mod meta;
 mod middleware;
 mod runtime;
--- a/crates/plankvale/src/cli.rs
+++ b/crates/plankvale/src/cli.rs
@@ -77,7 +77,7 @@
     let wrong = |e| format!("{}: log.filter: {e}", file.display());
     filter.parse::<tracing_subscriber::EnvFilter>().map_err(wrong)?;
     let name = |e| format!("{}: {e}", file.display());
-    crate::kept::keeper(&product, "").map_err(name)?;
+    millethook_engine::product::keeper(&product, "").map_err(name)?;
     Ok(format!("{}: sound", file.display()))
 }
 
--- a/crates/plankvale/src/config.rs
+++ b/crates/plankvale/src/config.rs
@@ -5,11 +5,12 @@
 use std::os::fd::RawFd;
 use std::path::Path;
 
-use coppercart::settings::{Failover, Settings};
+use coppercart::settings::Settings;
 use millethook_config::Product;
 use millethook_connect::Begins;
 use millethook_engine::list::List;
 use millethook_engine::names::Names;
+use millethook_engine::product::retune;
 use serde::Deserialize;
 use serde_json::Value;
 
@@ -91,12 +92,7 @@
             None => Product::default(),
         };
         let mut config = Config::of_platform()?;
-        if let Some(failover) = &product.failover {
-            config.settings.failover = Failover {
-                copy_at_aim: failover.copy_at_aim,
-                slow_exponent: failover.slow_exponent,
-            };
-        }
+        retune(&product, &mut config.settings);
         config.product = product;
         Ok(config)
     }
--- a/crates/plankvale/src/lib.rs
+++ b/crates/plankvale/src/lib.rs
@@ -4,7 +4,6 @@
 
 pub mod cli;
 pub mod config;
-mod kept;
 mod operated;
 mod shutdown;
 mod succession;
@@ -17,6 +16,7 @@
 use std::time::Duration;
 
 use millethook_engine::budget::{Bytes, Sockets};
+use millethook_engine::product;
 use millethook_engine::{Engine, EngineConfig, PeerConfig};
 use millethook_handover::inherited;
 use millethook_http::guard::OpenIds;
@@ -65,8 +65,8 @@
     };
     let seat = config.inherited.and_then(|_| succession::take_seat(&config.name));
     let Config { peers, peers_all: all, .. } = config;
-    let keeper = kept::keeper(&config.product, &config.name)?;
-    let connections = kept::connections(&config.product);
+    let keeper = product::keeper(&config.product, &config.name)?;
+    let connections = product::connections(&config.product);
     let peers = config.peer_listen.map(|listen| PeerConfig { listen, peers, all });
     let sockets = Rc::new(Sockets::new(config.sockets));
     let engine = EngineConfig {
