--- a/crates/coppercart/src/decide/servers.rs
+++ b/crates/coppercart/src/decide/servers.rs
@@ -48,7 +48,7 @@
         self.choose_subset();
     }
 
-    /// Slots before `free` are taken, or were when this list began.
+    /// No slot before `free` is free.
     fn list_entry(&mut self, e: &ServerEntry, free: &mut Slot) {
         let power = if e.power.is_finite() && e.power > 0.0 { f64::from(e.power) } else { 1.0 };
         let slot = match self.by_id.get(&e.id) {
@@ -84,5 +84,8 @@
             s.in_flight = in_flight;
         }
         (s.zone, s.cell, s.health, s.power) = (e.zone, e.cell, e.health, power);
+        if s.health == Health::Gone && s.in_flight == 0 {
+            *free = slot.min(*free);
+        }
     }
 }
