Keep the clock of kept lists steady; end a test's daemon however its start goes

Seen on a second reading: by the wall clock alone, a clock set back by a month would have put off trials and the end of a suspect list for a month. The keeper now goes by the clock that is never set, and what it writes is put into the terms of the wall clock as it is by then; a test sets it both ways.

A test failed now and then with an effect twice: its server had been asked /registry/instances. Ruled out: the engine, and freed ports of refusing(). Cause: eight daemons of an earlier test run, whose start the testkit could not read, had outlived it and went on asking at ports that were other tests' by then. The testkit's value now owns the process from its start on.

--- a/crates/millethook-engine/src/keeper.rs
+++ b/crates/millethook-engine/src/keeper.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use coppercart::api::ListKind;
+use millethook_membership::snapshot::Snapshot;
 use millethook_membership::store::{Error, Store};
 use millethook_membership::{Config, Counts, Membership, Source, Trial, UnixMs, Update};
 use tokio::sync::Notify;
@@ -54,6 +55,7 @@
     /// The list is not as it was written.
     changed: Notify,
     writes: Cell<Writes>,
+    clock: Clock,
 }
 
 impl Keeper {
@@ -76,10 +78,12 @@
             woken: Notify::new(),
             changed: Notify::new(),
             writes: Cell::default(),
+            clock: Clock::start(),
         });
         let mut hosts = Vec::new();
         if let Some(known) = known {
-            hosts = keeper.membership.borrow_mut().take(now(), Source::Known, known).hosts;
+            let now = keeper.clock.now();
+            hosts = keeper.membership.borrow_mut().take(now, Source::Known, known).hosts;
         }
         hosts.extend(keeper.load());
         // The module subscribes once it has heard of a list, be it empty.
@@ -97,7 +101,7 @@
         match store.load() {
             Ok(Some(snapshot)) => {
                 let (listed, written_ms) = (snapshot.servers.len(), snapshot.written_ms);
-                let now = now();
+                let now = self.clock.now();
                 let usable = self.membership.borrow_mut().remember(now, snapshot).hosts;
                 let counts = self.counts();
                 tracing::info!(
@@ -148,7 +152,9 @@
             let due = self.membership.borrow().next_due();
             let wait = async {
                 match due {
-                    Some(due) => sleep(Duration::from_millis(due.saturating_sub(now()))).await,
+                    Some(due) => {
+                        sleep(Duration::from_millis(due.saturating_sub(self.clock.now()))).await
+                    }
                     None => std::future::pending().await,
                 }
             };
@@ -156,7 +162,7 @@
                 () = wait => {}
                 () = self.woken.notified() => continue,
             }
-            let now = now();
+            let now = self.clock.now();
             let held = self.membership.borrow_mut().on_time(now);
             if let Some(update) = held {
                 tracing::warn!(
@@ -179,7 +185,7 @@
         let outcome = self.upstream.identify(&trial.host, &self.config.trial).await;
         let name = &trial.host.host;
         tracing::info!(event = "server_tried", server = %name, ?outcome, "a server of the old list");
-        let update = self.membership.borrow_mut().trial_ended(now(), name, outcome);
+        let update = self.membership.borrow_mut().trial_ended(self.clock.now(), name, outcome);
         self.tell(update);
     }
 
@@ -198,7 +204,8 @@
     /// Writes the snapshot now, unless nothing is believed in. The disk is waited for on another thread.
     pub async fn save(&self) {
         let Some(store) = self.config.store.clone() else { return };
-        let snapshot = self.membership.borrow().snapshot(&self.fleet, now());
+        let mut snapshot = self.membership.borrow().snapshot(&self.fleet, self.clock.now());
+        self.clock.to_wall(wall_ms(), &mut snapshot);
         // Danger: a start without any list would wipe what the next one could use.
         if snapshot.servers.is_empty() {
             return;
@@ -236,7 +243,7 @@
     }
 
     fn discovery_failed(&self) {
-        self.membership.borrow_mut().source_lost(now());
+        self.membership.borrow_mut().source_lost(self.clock.now());
         self.driver.clone().discovery_failed();
     }
 
@@ -249,7 +256,7 @@
     /// Takes a list, or changes of it, from a live source.
     pub(crate) fn take(&self, source: Source, list: &List) {
         let held = self.counts().held;
-        let update = self.membership.borrow_mut().take(now(), source, list);
+        let update = self.membership.borrow_mut().take(self.clock.now(), source, list);
         let counts = self.counts();
         if counts.held && !held {
             tracing::warn!(
@@ -263,6 +270,78 @@
     }
 }
 
-fn now() -> UnixMs {
+/// The wall clock as it was at the start, and on from there by the one that is never set.
+///
+/// Danger: by the wall clock alone, a clock that is set back by a month would put off trials, and the end of a
+/// suspect list, for a month.
+#[derive(Debug)]
+struct Clock {
+    start_ms: UnixMs,
+    start: Instant,
+}
+
+impl Clock {
+    fn start() -> Clock {
+        Clock { start_ms: wall_ms(), start: Instant::now() }
+    }
+
+    fn now(&self) -> UnixMs {
+        self.start_ms + self.start.elapsed().as_millis() as UnixMs
+    }
+
+    /// Puts what was stamped by this clock into the terms of the wall clock as it is set by now (`wall`), which
+    /// is what the next process has. What is older stands as it is.
+    fn to_wall(&self, wall: UnixMs, snapshot: &mut Snapshot) {
+        let now = self.now();
+        let moved = |at: UnixMs| wall.saturating_sub(now.saturating_sub(at));
+        for server in snapshot.servers.iter_mut().filter(|s| s.confirmed_ms >= self.start_ms) {
+            server.confirmed_ms = moved(server.confirmed_ms);
+        }
+        snapshot.written_ms = wall;
+    }
+}
+
+fn wall_ms() -> UnixMs {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as UnixMs
 }
+
+#[cfg(test)]
+mod tests {
+    use millethook_membership::History;
+    use millethook_membership::snapshot::Remembered;
+
+    use super::*;
+
+    /// The wall clock was set while the process ran: ages in the file are true by the new one.
+    #[test]
+    fn a_snapshot_is_written_by_the_wall_clock_as_it_is_set() {
+        const MONTH: u64 = 30 * 86_400_000;
+        let clock = Clock { start_ms: 10 * MONTH, start: Instant::now() };
+        let host = || crate::list::Host {
+            host: "s".into(),
+            dial: None,
+            site: String::new(),
+            class: String::new(),
+            block: 0,
+            health: crate::list::Listed::Active,
+            share: 1.0,
+            born_ms: 0,
+        };
+        let before = 9 * MONTH;
+        let confirmed = [before, 10 * MONTH];
+        let servers = confirmed.map(|confirmed_ms| Remembered { confirmed_ms, host: host() });
+        for wall in [2 * MONTH, 11 * MONTH] {
+            let mut snapshot = Snapshot {
+                fleet: "f".into(),
+                written_ms: 0,
+                seq: 1,
+                history: History::default(),
+                servers: servers.to_vec(),
+            };
+            clock.to_wall(wall, &mut snapshot);
+            assert_eq!((snapshot.written_ms, snapshot.servers[0].confirmed_ms), (wall, before));
+            let age = wall - snapshot.servers[1].confirmed_ms;
+            assert!(age <= clock.now() - 10 * MONTH, "{age} ms");
+        }
+    }
+}
--- a/crates/millethook-testkit/src/daemon.rs
+++ b/crates/millethook-testkit/src/daemon.rs
@@ -128,24 +128,28 @@
     fn spawn((mut command, path): (Command, PathBuf)) -> Sidecar {
         let mut child = command.spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
-        let mut admin = None;
-        let address = loop {
+        let (tell, told) = channel();
+        let nowhere = ([0, 0, 0, 0], 0).into();
+        // Danger: a process that outlives its test asks at ports that are other tests' by then. From here on
+        // its end is this value's, also if what it writes cannot be read.
+        let mut sidecar =
+            Sidecar { child, address: nowhere, admin: None, path, log: Mutex::new(told) };
+        while sidecar.address == nowhere {
             let mut line = String::new();
             assert_ne!(log.read_line(&mut line).unwrap(), 0, "the sidecar ended");
             if let Some((_, at)) = line.trim().split_once("operators call at ") {
-                admin = Some(first_word(at).parse().unwrap());
+                sidecar.admin = Some(first_word(at).parse().unwrap());
             }
             if let Some((_, at)) = line.trim().split_once("listens on ") {
-                break first_word(at).parse().unwrap();
+                sidecar.address = first_word(at).parse().unwrap();
             }
-        };
-        let (tell, told) = channel();
+        }
         thread::spawn(move || {
             for line in log.lines().map_while(Result::ok) {
                 let _ = tell.send(line);
             }
         });
-        Sidecar { child, address, admin, path, log: Mutex::new(told) }
+        sidecar
     }
 
     /// One with as many servers as given and an agent that lists them.
