--- a/crates/millethook-engine/src/product.rs
+++ b/crates/millethook-engine/src/product.rs
@@ -47,9 +47,9 @@
     }
 }
 
-/// What bounds connections to one server.
-pub fn connections(product: &Product) -> Limits {
-    let (given, usual) = (&product.connections, Limits::default());
+/// What bounds connections to one server; `usual` where the file says nothing.
+pub fn connections(product: &Product, usual: Limits) -> Limits {
+    let given = &product.connections;
     Limits {
         per_server: given.per_server.unwrap_or(usual.per_server),
         opening: given.opening.unwrap_or(usual.opening),
--- a/crates/millethook/src/config.rs
+++ b/crates/millethook/src/config.rs
@@ -251,14 +251,7 @@
         let product = product.map_err(|e| OpenError::Config(e.to_string()))?;
         let keeper = product::keeper(&product, &self.name).map_err(OpenError::Config)?;
         self.keeper = keeper;
-        let given = &product.connections;
-        let usual = self.connections;
-        self.connections = Limits {
-            per_server: given.per_server.unwrap_or(usual.per_server),
-            opening: given.opening.unwrap_or(usual.opening),
-            spare: given.spare.unwrap_or(usual.spare),
-            ..usual
-        };
+        self.connections = product::connections(&product, self.connections);
         product::retune(&product, &mut self.settings);
         // Another opening of the fleet has to have the same file.
         self.given["product"] = format!("{product:?}").into();
--- a/crates/plankvale/src/lib.rs
+++ b/crates/plankvale/src/lib.rs
@@ -15,6 +15,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use millethook_connect::pool::Limits;
 use millethook_engine::budget::{Bytes, Sockets};
 use millethook_engine::product;
 use millethook_engine::{Engine, EngineConfig, PeerConfig};
@@ -66,7 +67,7 @@
     let seat = config.inherited.and_then(|_| succession::take_seat(&config.name));
     let Config { peers, peers_all: all, .. } = config;
     let keeper = product::keeper(&config.product, &config.name)?;
-    let connections = product::connections(&config.product);
+    let connections = product::connections(&config.product, Limits::default());
     let peers = config.peer_listen.map(|listen| PeerConfig { listen, peers, all });
     let sockets = Rc::new(Sockets::new(config.sockets));
     let engine = EngineConfig {
