--- /dev/null
+++ b/crates/millethook-lab/src/ledger/cold.rs
@@ -0,0 +1,78 @@
+//! The budget of a server that has just started: sent more than a multiple of what it can do, it falls over.
+
+use std::collections::VecDeque;
+
+use super::Micros;
+
+/// What a cold server can do over time.
+#[derive(Clone, Copy, Debug)]
+pub struct Warmth {
+    /// Requests in work at once.
+    pub slots: f64,
+    /// The share of its capacity that it has at the start.
+    pub share: f64,
+    /// How long until it has all of it.
+    pub length: Micros,
+}
+
+impl Warmth {
+    /// Its share of the full capacity at an age.
+    pub fn at(&self, age: Micros) -> f64 {
+        match self.length {
+            0 => 1.0,
+            length => {
+                let grown = (age as f64 / length as f64).min(1.0);
+                self.share + (1.0 - self.share) * grown
+            }
+        }
+    }
+
+    /// The work that it can do between two ages, in microseconds.
+    fn between(&self, from: Micros, to: Micros) -> f64 {
+        // Capacity grows evenly up to `length` and stands from there on: the mean of both ends of each part.
+        let part = |from: Micros, to: Micros| {
+            (to.saturating_sub(from)) as f64 * (self.at(from) + self.at(to)) / 2.0
+        };
+        let bend = self.length.clamp(from, to);
+        self.slots * (part(from, bend) + part(bend, to))
+    }
+}
+
+/// Counts what a cold server is sent.
+#[derive(Clone, Debug)]
+pub struct ColdBudget {
+    warmth: Warmth,
+    multiple: f64,
+    window: Micros,
+    sent: VecDeque<(Micros, Micros)>,
+    sum: Micros,
+    largest: Micros,
+}
+
+/// Room for chance: so many of the largest pieces of work go beside the budget.
+const SLACK_PIECES: f64 = 3.0;
+
+impl ColdBudget {
+    /// A budget of `multiple` times what the server can do in any window of so many microseconds.
+    pub fn new(warmth: Warmth, multiple: f64, window: Micros) -> ColdBudget {
+        let sent = VecDeque::new();
+        ColdBudget { warmth, multiple, window, sent, sum: 0, largest: 0 }
+    }
+
+    /// One more piece of work at an age. True: the server falls over.
+    pub fn send(&mut self, age: Micros, work: Micros) -> bool {
+        self.sent.push_back((age, work));
+        self.sum += work;
+        self.largest = self.largest.max(work);
+        while let Some(&(old, work)) = self.sent.front().filter(|s| s.0 + self.window <= age) {
+            debug_assert!(old < age);
+            self.sum -= work;
+            self.sent.pop_front();
+        }
+        // A burst may use a window up early: the window that begins with the oldest piece counts in full.
+        let from = self.sent.front().map_or(age, |s| s.0);
+        let can = self.warmth.between(from, from + self.window);
+        age < self.warmth.length
+            && self.sum as f64 > self.multiple * can + SLACK_PIECES * self.largest as f64
+    }
+}
--- /dev/null
+++ b/crates/millethook-lab/src/ledger/judge.rs
@@ -0,0 +1,320 @@
+//! The four rules, judged over all processes together once a run is over. No clock and no I/O: a book in,
+//! breaches out.
+
+use std::collections::HashMap;
+use std::fmt;
+
+use super::{Absence, Attempt, Book, End, Fate, Listed, Micros, Request, RequestId};
+use crate::timeline::{Class, Effect, Group, Rules};
+
+/// A rule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Rule {
+    /// Each request taken gets exactly one final answer in time, made for it, and nothing goes out after it.
+    Lost,
+    /// No effect twice.
+    Twice,
+    /// Nothing new to a server that drains or is gone.
+    Drain,
+    /// No cold server pushed over by the sum of all.
+    Cold,
+}
+
+impl fmt::Display for Rule {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Rule::Lost => "no request lost",
+            Rule::Twice => "no effect twice",
+            Rule::Drain => "drains kept",
+            Rule::Cold => "no cold server pushed over",
+        })
+    }
+}
+
+/// A broken rule.
+#[derive(Clone, Debug)]
+pub struct Breach {
+    /// Which.
+    pub rule: Rule,
+    /// By which request, where it was one.
+    pub request: Option<RequestId>,
+    /// What happened.
+    pub text: String,
+    /// The request's way through every process, in order.
+    pub way: Vec<String>,
+}
+
+/// Shares of what a cold server was sent that have to come from sidecars told of its start.
+const TOLD_SHARE: f64 = 2.0 / 3.0;
+
+/// Judges a book.
+pub fn judge(book: &Book, classes: &[Class], rules: &Rules) -> Vec<Breach> {
+    let judge = Judge::new(book, classes, rules);
+    let mut breaches = Vec::new();
+    for request in &book.requests {
+        judge.answers(request, &mut breaches);
+        judge.effects(request, &mut breaches);
+    }
+    for &(at, id) in &book.strays {
+        let text = format!("bytes came behind its answer by {}", seconds(at));
+        breaches.push(judge.breach(Rule::Lost, id, text));
+    }
+    judge.drains(&mut breaches);
+    judge.cold(&mut breaches);
+    breaches.sort_by_key(|b| (b.rule, b.request));
+    breaches
+}
+
+struct Judge<'b> {
+    book: &'b Book,
+    classes: &'b [Class],
+    rules: &'b Rules,
+    /// Attempts by id, in the order in which they arrived.
+    attempts: HashMap<RequestId, Vec<&'b Attempt>>,
+    /// What each sidecar was told of each server, by time.
+    told: HashMap<(usize, usize), Vec<(Micros, Listed)>>,
+    absences: HashMap<usize, Vec<&'b Absence>>,
+}
+
+impl<'b> Judge<'b> {
+    fn new(book: &'b Book, classes: &'b [Class], rules: &'b Rules) -> Judge<'b> {
+        let mut attempts: HashMap<RequestId, Vec<&Attempt>> = HashMap::new();
+        for attempt in &book.attempts {
+            attempts.entry(attempt.id).or_default().push(attempt);
+        }
+        attempts.values_mut().for_each(|of| of.sort_by_key(|a| a.arrived));
+        let mut told: HashMap<_, Vec<_>> = HashMap::new();
+        for t in &book.told {
+            told.entry((t.sidecar, t.server)).or_default().push((t.at, t.listed));
+        }
+        told.values_mut().for_each(|of| of.sort_by_key(|t| t.0));
+        let mut absences: HashMap<usize, Vec<&Absence>> = HashMap::new();
+        for absence in &book.absences {
+            absences.entry(absence.sidecar).or_default().push(absence);
+        }
+        Judge { book, classes, rules, attempts, told, absences }
+    }
+
+    fn attempts(&self, id: RequestId) -> &[&'b Attempt] {
+        self.attempts.get(&id).map_or(&[], Vec::as_slice)
+    }
+
+    fn slack(&self) -> Micros {
+        micros(self.rules.socket_slack_ms)
+    }
+
+    /// A time limit of a sidecar, moved on by the pauses, and by the stalls of the lab, that it ran into.
+    fn extended(&self, sidecar: usize, from: Micros, limit: Micros) -> Micros {
+        let pauses = self.absences.get(&sidecar).into_iter().flatten();
+        let pauses = pauses.filter(|a| !a.ended).map(|a| (a.from, a.to));
+        let mut spells: Vec<_> = pauses.chain(self.book.stalls.iter().copied()).collect();
+        spells.sort_unstable();
+        spells.into_iter().fold(limit, |limit, (begin, end)| {
+            let meets = end > from && begin <= limit;
+            if meets { limit.saturating_add(end - begin.max(from)) } else { limit }
+        })
+    }
+
+    /// Whether the sidecar's process ended between two times.
+    fn ended_between(&self, sidecar: usize, from: Micros, to: Micros) -> bool {
+        let absences = self.absences.get(&sidecar).into_iter().flatten();
+        absences.filter(|a| a.ended).any(|a| a.from <= to && a.to >= from)
+    }
+
+    fn answers(&self, request: &Request, breaches: &mut Vec<Breach>) {
+        let id = request.id;
+        let sidecar = id.sidecar();
+        let time = request.sent + request.left + micros(self.rules.answer_slack_ms) + self.slack();
+        let limit = self.extended(sidecar, request.sent, time);
+        let killed = |to| self.ended_between(sidecar, request.sent, to);
+        let text = match request.end {
+            End::Open | End::Unreached => return,
+            End::Foreign => "it was answered with what was not made for it".to_owned(),
+            End::Broken | End::Silent if killed(request.ended.max(limit)) => return,
+            End::Broken => {
+                format!("its connection ended without an answer at {}", seconds(request.ended))
+            }
+            End::Silent if request.ended <= limit => return,
+            End::Silent => format!("no answer by {}", seconds(request.ended)),
+            End::Served | End::Refused | End::Failed(_) => {
+                // An answer that is known by now was on its way when the lab looked again.
+                let after = |a: &&&Attempt| a.first_byte > request.ended + self.slack();
+                if let Some(late) = self.attempts(id).iter().find(after) {
+                    let late = seconds(late.first_byte);
+                    let text = format!("it went out at {late}, after its final answer");
+                    breaches.push(self.breach(Rule::Lost, id, text));
+                }
+                if request.ended <= limit {
+                    return;
+                }
+                format!(
+                    "its answer came at {}, {} expected at the latest",
+                    seconds(request.ended),
+                    seconds(limit)
+                )
+            }
+        };
+        breaches.push(self.breach(Rule::Lost, id, text));
+    }
+
+    fn effects(&self, request: &Request, breaches: &mut Vec<Breach>) {
+        let class = &self.classes[request.class];
+        let attempts = self.attempts(request.id);
+        let all = class.effect == Effect::Keyed && class.group == Group::All;
+        if class.effect == Effect::Safe {
+            return;
+        }
+        for (nth, attempt) in attempts.iter().enumerate() {
+            let unclear = attempts[..nth].iter().find(|earlier| {
+                let known = earlier.fate == Fate::TurnedAway && earlier.ended <= attempt.arrived;
+                !known && !self.repeatable(class, earlier, attempt)
+            });
+            if let Some(earlier) = unclear {
+                let text = format!(
+                    "it went out again at {} though it may have run at {}",
+                    seconds(attempt.first_byte),
+                    self.book.servers[earlier.server].name
+                );
+                breaches.push(self.breach(Rule::Twice, request.id, text));
+                break;
+            }
+        }
+        // Danger: an attempt that still hangs in a cut connection is no proof either.
+        if request.end == End::Refused
+            && !all
+            && let Some(unclear) = attempts.iter().find(|a| a.fate != Fate::TurnedAway)
+        {
+            let at = &self.book.servers[unclear.server].name;
+            let text = format!("it was refused though it may have run at {at}");
+            breaches.push(self.breach(Rule::Twice, request.id, text));
+        }
+    }
+
+    /// Whether a keyed request that may have run in `earlier` could go out again as `later`.
+    fn repeatable(&self, class: &Class, earlier: &Attempt, later: &Attempt) -> bool {
+        let zone = |a: &Attempt| self.book.servers[a.server].zone;
+        let in_group = class.group == Group::All || zone(earlier) == zone(later);
+        let window = micros(class.window_ms) + self.slack();
+        let limit =
+            self.extended(earlier.id.sidecar(), earlier.first_byte, earlier.first_byte + window);
+        class.effect == Effect::Keyed && in_group && later.first_byte <= limit
+    }
+
+    fn drains(&self, breaches: &mut Vec<Breach>) {
+        for attempt in &self.book.attempts {
+            let sidecar = attempt.id.sidecar();
+            let Some(told) = self.told.get(&(sidecar, attempt.server)) else { continue };
+            // The oldest word of those that have stood since.
+            let before = told.iter().take_while(|t| t.0 <= attempt.first_byte);
+            let leaving = before.fold(None, |since, t| match t.1 {
+                Listed::Active => None,
+                Listed::Leaving => since.or(Some(t.0)),
+            });
+            let Some(since) = leaving else { continue };
+            let limit = since + micros(self.rules.stop_sending_ms) + self.slack();
+            if attempt.first_byte > self.extended(sidecar, since, limit) {
+                let text = format!(
+                    "it went to {} at {}, told to leave at {}",
+                    self.book.servers[attempt.server].name,
+                    seconds(attempt.first_byte),
+                    seconds(since)
+                );
+                breaches.push(self.breach(Rule::Drain, attempt.id, text));
+            }
+        }
+    }
+
+    fn cold(&self, breaches: &mut Vec<Breach>) {
+        for (n, server) in self.book.servers.iter().enumerate() {
+            let Some(fell) = server.fell else { continue };
+            let from = fell.saturating_sub(micros(self.rules.tip_after_s * 1e3));
+            let mut by = HashMap::<usize, (Micros, bool)>::new();
+            let window = self.book.attempts.iter();
+            for a in window.filter(|a| a.server == n && a.arrived >= from && a.arrived <= fell) {
+                let sidecar = a.id.sidecar();
+                let knew = self.told.get(&(sidecar, n)).is_some_and(|told| told[0].0 <= a.arrived);
+                let entry = by.entry(sidecar).or_default();
+                entry.0 += a.work;
+                entry.1 |= knew;
+            }
+            let all: Micros = by.values().map(|s| s.0).sum();
+            let knowing: Micros = by.values().filter(|s| s.1).map(|s| s.0).sum();
+            if (knowing as f64) < TOLD_SHARE * all as f64 {
+                continue;
+            }
+            let mut most: Vec<_> = by.into_iter().collect();
+            most.sort_by_key(|(sidecar, (work, _))| (std::cmp::Reverse(*work), *sidecar));
+            let way = most.iter().take(8).map(|(sidecar, (work, knew))| {
+                let knew = if *knew { "told of its start" } else { "not told" };
+                format!("n{sidecar} sent {} ms of work, {knew}", work / 1000)
+            });
+            let text = format!(
+                "{} fell over at {}, sent {} ms of work by {} sidecars in the window before",
+                server.name,
+                seconds(fell),
+                all / 1000,
+                most.len()
+            );
+            let way = way.collect();
+            breaches.push(Breach { rule: Rule::Cold, request: None, text, way });
+        }
+    }
+
+    fn breach(&self, rule: Rule, id: RequestId, text: String) -> Breach {
+        Breach { rule, request: Some(id), text, way: self.way(id) }
+    }
+
+    /// All that is known of a request, by time.
+    fn way(&self, id: RequestId) -> Vec<String> {
+        let mut way: Vec<(Micros, String)> = Vec::new();
+        for r in self.book.requests.iter().filter(|r| r.id.operation() == id.operation()) {
+            let name = &self.classes[r.class].name;
+            let text = format!(
+                "client of n{}: {name} {} sent, {} ms left",
+                id.sidecar(),
+                r.id.wire(),
+                r.left / 1000
+            );
+            way.push((r.sent, text));
+            way.push((r.ended, format!("client: {} ended {:?}", r.id.wire(), r.end)));
+            for a in self.attempts(r.id) {
+                let server = &self.book.servers[a.server].name;
+                way.push((a.first_byte, format!("{server}: {} first byte", a.id.wire())));
+                way.push((a.arrived, format!("{server}: {} last byte", a.id.wire())));
+                if let Some(ran) = a.ran {
+                    way.push((ran, format!("{server}: {} takes effect", a.id.wire())));
+                }
+                way.push((a.ended, format!("{server}: {} {:?}", a.id.wire(), a.fate)));
+                let mut told = self.told.get(&(id.sidecar(), a.server)).into_iter().flatten();
+                if let Some((at, listed)) = told.rfind(|t| t.0 <= a.arrived) {
+                    way.push((
+                        *at,
+                        format!("discovery: n{} told {server} {listed:?}", id.sidecar()),
+                    ));
+                }
+            }
+        }
+        let (from, to) = (way.iter().map(|w| w.0).min(), way.iter().map(|w| w.0).max());
+        for absence in self.absences.get(&id.sidecar()).into_iter().flatten() {
+            if Some(absence.from) <= to && Some(absence.to) >= from {
+                let what = if absence.ended { "ended" } else { "paused" };
+                way.push((absence.from, format!("n{} {what}", id.sidecar())));
+                if absence.to < Micros::MAX {
+                    way.push((absence.to, format!("n{} back", id.sidecar())));
+                }
+            }
+        }
+        way.sort();
+        way.dedup();
+        way.into_iter().map(|(at, text)| format!("{} {text}", seconds(at))).collect()
+    }
+}
+
+fn micros(ms: f64) -> Micros {
+    (ms * 1e3) as Micros
+}
+
+/// A time of the run for people.
+pub fn seconds(at: Micros) -> String {
+    format!("{:.3} s", at as f64 / 1e6)
+}
--- /dev/null
+++ b/crates/millethook-lab/src/main.rs
@@ -0,0 +1,8 @@
+//! `millethook-lab`: plays timelines on fleets of daemons.
+#![forbid(unsafe_code)]
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    millethook_lab::cli::main()
+}
--- /dev/null
+++ b/crates/millethook-lab/src/world/agent.rs
@@ -0,0 +1,312 @@
+//! A stand-in for discovery: a directory with its history, and an agent beside each sidecar that tells of it,
+//! late, from an older state, or not at all.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use rand::Rng;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+use super::http::{Wire, answer};
+use super::server::Server;
+use crate::ledger::{Clock, Ledger, Listed, Micros, Told};
+use crate::plan::stream;
+use crate::timeline::Timeline;
+
+/// A server in the list.
+#[derive(Clone)]
+struct Entry {
+    name: String,
+    server: Arc<Server>,
+    leaving: bool,
+}
+
+/// The list from a time on.
+struct Version {
+    at: Micros,
+    entries: Arc<Vec<Entry>>,
+}
+
+/// All lists that there were. Bounded by the steps of the timeline.
+pub struct Directory {
+    clock: Clock,
+    ledger: Arc<Ledger>,
+    versions: Mutex<Vec<Version>>,
+    changed: watch::Sender<usize>,
+}
+
+impl Directory {
+    /// One that lists nobody.
+    pub fn new(clock: Clock, ledger: Arc<Ledger>) -> Directory {
+        let versions = Mutex::new(vec![Version { at: 0, entries: Arc::default() }]);
+        Directory { clock, ledger, versions, changed: watch::Sender::new(1) }
+    }
+
+    fn change(&self, change: impl FnOnce(&mut Vec<Entry>)) {
+        let mut versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut entries = versions.last().map(|v| v.entries.to_vec()).unwrap_or_default();
+        change(&mut entries);
+        versions.push(Version { at: self.clock.now(), entries: Arc::new(entries) });
+        let count = versions.len();
+        drop(versions);
+        self.changed.send_replace(count);
+    }
+
+    /// Lists a server; another process of the same name goes.
+    pub fn list(&self, name: &str, server: &Arc<Server>) {
+        let entry = Entry { name: name.to_owned(), server: server.clone(), leaving: false };
+        self.change(|entries| match entries.iter_mut().find(|e| e.name == name) {
+            Some(old) => *old = entry,
+            None => entries.push(entry),
+        });
+    }
+
+    /// Lists a server as leaving.
+    pub fn leaving(&self, name: &str) {
+        self.change(|entries| {
+            entries.iter_mut().filter(|e| e.name == name).for_each(|e| e.leaving = true);
+        });
+    }
+
+    /// Lists a server no longer.
+    pub fn remove(&self, name: &str) {
+        self.change(|entries| entries.retain(|e| e.name != name));
+    }
+
+    fn version(&self, nth: usize) -> Arc<Vec<Entry>> {
+        let versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
+        versions.get(nth - 1).map(|v| v.entries.clone()).unwrap_or_default()
+    }
+
+    /// The last version that was there at a time, for one to whom each comes after `lag(version)`, and the
+    /// time at which the next one will be there.
+    fn visible(&self, now: Micros, lag: impl Fn(usize) -> Micros) -> (usize, Option<Micros>) {
+        let versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut last = 1;
+        for (n, version) in versions.iter().enumerate().skip(1) {
+            // What was listed before the load began is known to all.
+            let there = if version.at == 0 { 0 } else { version.at + lag(n + 1) };
+            if there > now {
+                return (last, Some(there));
+            }
+            last = n + 1;
+        }
+        (last, None)
+    }
+
+    fn at(&self, time: Micros) -> usize {
+        let versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
+        versions.iter().rposition(|v| v.at <= time).unwrap_or(0) + 1
+    }
+}
+
+/// What an agent does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// It tells the list.
+    Well,
+    /// It says nothing.
+    Down,
+    /// It tells the list as it was at a time.
+    Stale(Micros),
+}
+
+/// The agent beside one sidecar.
+pub struct Agent {
+    directory: Arc<Directory>,
+    sidecar: usize,
+    class: usize,
+    late: f64,
+    seed: u64,
+    mode: watch::Sender<Mode>,
+    told: Mutex<HashMap<usize, Listed>>,
+    /// Ends the listener that is now in use.
+    listener: Mutex<Option<watch::Sender<bool>>>,
+}
+
+impl Agent {
+    /// One for a sidecar that reaches servers as its class of streams does.
+    pub fn new(
+        directory: &Arc<Directory>,
+        timeline: &Timeline,
+        seed: u64,
+        sidecar: usize,
+        class: usize,
+    ) -> Arc<Agent> {
+        Arc::new(Agent {
+            directory: directory.clone(),
+            sidecar,
+            class,
+            late: timeline.discovery.late_s,
+            seed,
+            mode: watch::Sender::new(Mode::Well),
+            told: Mutex::default(),
+            listener: Mutex::default(),
+        })
+    }
+
+    /// Listens at a new address; an old one takes nothing from now on, and its connections end after 1.5 s.
+    ///
+    /// # Errors
+    /// No address can be had.
+    pub async fn listen(self: &Arc<Agent>, at: SocketAddr) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind(at).await?;
+        let at = listener.local_addr()?;
+        let (end, ended) = watch::channel(false);
+        tokio::spawn(self.clone().accept(listener, ended));
+        let old = self.listener.lock().unwrap_or_else(PoisonError::into_inner).replace(end);
+        if let Some(old) = old {
+            old.send_replace(true);
+        }
+        Ok(at)
+    }
+
+    /// Changes what it does.
+    pub fn be(&self, mode: Mode) {
+        self.mode.send_replace(mode);
+    }
+
+    async fn accept(self: Arc<Agent>, listener: TcpListener, mut ended: watch::Receiver<bool>) {
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = ended.wait_for(|ended| *ended) => return,
+            };
+            let Ok((stream, _)) = accepted else {
+                sleep(Duration::from_millis(10)).await;
+                continue;
+            };
+            let (agent, mut ended) = (self.clone(), ended.clone());
+            tokio::spawn(async move {
+                tokio::select! {
+                    _ = agent.talk(Wire::new(stream)) => {}
+                    () = async {
+                        let _ = ended.wait_for(|ended| *ended).await;
+                        sleep(Duration::from_millis(1500)).await;
+                    } => {}
+                }
+            });
+        }
+    }
+
+    async fn talk(&self, mut wire: Wire) -> io::Result<()> {
+        while let Some(call) = wire.request().await? {
+            let number = |key: &str| -> Option<u64> {
+                let rest = &call.target[call.target.find(key)? + key.len()..];
+                let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
+                digits.parse().ok()
+            };
+            let hold = Duration::from_millis(number("hold_ms=").unwrap_or(0).min(60_000));
+            let from = number("from=").map(|from| from as usize);
+            let reply = tokio::select! {
+                reply = self.reply(from, hold) => reply,
+                () = wire.ended() => return Ok(()),
+            };
+            let (whole, hosts, words) = reply.1;
+            let body = json!({"seq": reply.0, "whole": whole, "hosts": hosts}).to_string();
+            wire.send(answer("200 OK", "", &body).as_bytes()).await?;
+            self.write_down(words);
+        }
+        Ok(())
+    }
+
+    /// The version to tell, and what to say. Waits while there is nothing to say.
+    async fn reply(&self, from: Option<usize>, hold: Duration) -> (usize, Words) {
+        let mut modes = self.mode.subscribe();
+        let mut changes = self.directory.changed.subscribe();
+        let end = tokio::time::Instant::now() + hold;
+        loop {
+            changes.borrow_and_update();
+            let mode = *modes.borrow_and_update();
+            let now = self.directory.clock.now();
+            let (seq, next) = match mode {
+                Mode::Down => {
+                    // Who asked is told nothing, for as long as that lasts.
+                    let _ = modes.changed().await;
+                    continue;
+                }
+                Mode::Well => self.directory.visible(now, |version| self.lag(version)),
+                Mode::Stale(at) => (self.directory.at(at), None),
+            };
+            if from != Some(seq) || end <= tokio::time::Instant::now() {
+                return (seq, self.words(from, seq, mode));
+            }
+            let next = next.map_or(hold, |next| Duration::from_micros(next - now));
+            let wait = next.min(end.saturating_duration_since(tokio::time::Instant::now()));
+            let _ = timeout(wait, async {
+                tokio::select! {
+                    _ = modes.changed() => {}
+                    _ = changes.changed() => {}
+                }
+            })
+            .await;
+        }
+    }
+
+    /// The time after which a version reaches this agent, in microseconds.
+    fn lag(&self, version: usize) -> Micros {
+        if self.late <= 0.0 {
+            return 0;
+        }
+        let mut random = stream(self.seed, "lag", (self.sidecar as u64) << 32 | version as u64);
+        (random.random::<f64>() * self.late * 1e6) as Micros
+    }
+
+    fn words(&self, from: Option<usize>, seq: usize, mode: Mode) -> Words {
+        let now = self.directory.version(seq);
+        let before = from.filter(|from| (1..=seq).contains(from) && mode == Mode::Well);
+        let Some(before) = before.map(|from| self.directory.version(from)) else {
+            let hosts = now.iter().map(|e| self.host(e, health(e))).collect();
+            let mut words: Vec<_> = now.iter().map(|e| (e.server.row, listed(e))).collect();
+            // Whoever a whole list lacks is gone.
+            let told = self.told.lock().unwrap_or_else(PoisonError::into_inner);
+            let gone = told.keys().filter(|row| now.iter().all(|e| e.server.row != **row));
+            words.extend(gone.map(|row| (*row, Listed::Leaving)));
+            return (true, hosts, words);
+        };
+        let same = |a: &Entry, b: &Entry| a.server.row == b.server.row && a.leaving == b.leaving;
+        let news = now.iter().filter(|e| !before.iter().any(|old| same(old, e)));
+        let gone = before.iter().filter(|old| now.iter().all(|e| e.name != old.name));
+        let mut hosts: Vec<Value> = news.clone().map(|e| self.host(e, health(e))).collect();
+        hosts.extend(gone.clone().map(|e| self.host(e, "left")));
+        let mut words: Vec<_> = news.map(|e| (e.server.row, listed(e))).collect();
+        words.extend(gone.map(|e| (e.server.row, Listed::Leaving)));
+        (false, hosts, words)
+    }
+
+    fn host(&self, entry: &Entry, health: &str) -> Value {
+        json!({
+            "host": entry.name, "dial": entry.server.addresses()[self.class].to_string(),
+            "site": Timeline::zone_name(entry.server.zone), "class": "std", "block": 0,
+            "health": health, "share": 1.0, "born_ms": entry.server.born_ms,
+        })
+    }
+
+    fn write_down(&self, words: Vec<(usize, Listed)>) {
+        let at = self.directory.clock.now();
+        let mut told = self.told.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut book = self.directory.ledger.open();
+        for (server, listed) in words {
+            if told.insert(server, listed) != Some(listed) {
+                book.told.push(Told { at, sidecar: self.sidecar, server, listed });
+            }
+        }
+    }
+}
+
+/// Whether it is the whole list, the entries, and what is thereby told of whom.
+type Words = (bool, Vec<Value>, Vec<(usize, Listed)>);
+
+fn health(entry: &Entry) -> &'static str {
+    if entry.leaving { "leaving" } else { "active" }
+}
+
+fn listed(entry: &Entry) -> Listed {
+    if entry.leaving { Listed::Leaving } else { Listed::Active }
+}
--- /dev/null
+++ b/crates/millethook-lab/src/world/client.rs
@@ -0,0 +1,294 @@
+//! The clients of one sidecar: open loop, by the plan, with retries where they are allowed.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+use super::http::{Between, Message, Wire};
+use super::server::Stage;
+use crate::ledger::{End, Micros, Request, RequestId};
+use crate::timeline::{Class, Effect, Group};
+
+/// Requests of one sidecar's clients at once; one more waits, and its arrival counts as late.
+const AT_ONCE: usize = 512;
+/// Connections at rest.
+const AT_REST: usize = 64;
+/// A client waits for so long beyond its time, to tell a late answer from none.
+const PATIENCE: Duration = Duration::from_millis(1500);
+/// How long a connection to the sidecar may take.
+const CONNECT: Duration = Duration::from_secs(1);
+
+/// How late arrivals were, over all clients, in microseconds.
+pub struct Lateness(Mutex<Histogram<u64>>);
+
+impl Lateness {
+    /// Nothing yet.
+    ///
+    /// # Errors
+    /// The histogram's bounds are not sound.
+    pub fn new() -> Result<Lateness, hdrhistogram::CreationError> {
+        Ok(Lateness(Mutex::new(Histogram::new_with_bounds(1, 3_600_000_000, 3)?)))
+    }
+
+    fn note(&self, late: Duration) {
+        let mut histogram = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        histogram.saturating_record(late.as_micros() as u64);
+    }
+
+    /// The lateness that so many of all arrivals stay under.
+    pub fn quantile(&self, quantile: f64) -> Duration {
+        let histogram = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        Duration::from_micros(histogram.value_at_quantile(quantile))
+    }
+}
+
+/// The clients of one sidecar.
+pub struct Clients {
+    stage: Arc<Stage>,
+    sidecar: usize,
+    lateness: Arc<Lateness>,
+    /// Where its processes accept clients: one, or two where it has a twin.
+    addresses: Mutex<Vec<SocketAddr>>,
+    /// Whether the application runs; it stops and starts with its sidecar at planned restarts.
+    offering: AtomicBool,
+    rest: Mutex<VecDeque<(Wire, RequestId, SocketAddr)>>,
+    places: Semaphore,
+    turn: AtomicUsize,
+}
+
+impl Clients {
+    /// The clients of a sidecar that listens at `at`.
+    pub fn new(
+        stage: &Arc<Stage>,
+        sidecar: usize,
+        lateness: &Arc<Lateness>,
+        at: SocketAddr,
+    ) -> Arc<Clients> {
+        Arc::new(Clients {
+            stage: stage.clone(),
+            sidecar,
+            lateness: lateness.clone(),
+            addresses: Mutex::new(vec![at]),
+            offering: AtomicBool::new(true),
+            rest: Mutex::default(),
+            places: Semaphore::new(AT_ONCE),
+            turn: AtomicUsize::new(0),
+        })
+    }
+
+    /// The application stops, or starts.
+    pub fn offer(&self, offering: bool) {
+        self.offering.store(offering, Ordering::Relaxed);
+    }
+
+    /// One more process accepts clients.
+    pub fn also_at(&self, at: SocketAddr) {
+        self.addresses.lock().unwrap_or_else(PoisonError::into_inner).push(at);
+    }
+
+    /// Sends what the plan says, to the end; returns once all is answered or given up.
+    pub async fn run(self: Arc<Clients>) {
+        let plan = self.stage.plan.clone();
+        let mut tasks = tokio::task::JoinSet::new();
+        for (nth, arrival) in plan.sidecars[self.sidecar].arrivals.iter().enumerate() {
+            let due = self.stage.clock.at(Duration::from_micros(arrival.at));
+            sleep_until(Instant::from_std(due)).await;
+            while tasks.try_join_next().is_some() {}
+            if !self.offering.load(Ordering::Relaxed) {
+                self.stage.ledger.open().not_offered += 1;
+                continue;
+            }
+            let (clients, at) = (self.clone(), arrival.at);
+            tasks.spawn(async move {
+                let Ok(_place) = clients.places.acquire().await else { return };
+                clients.lateness.note(due.elapsed());
+                clients.operation(nth, at).await;
+            });
+        }
+        while tasks.join_next().await.is_some() {}
+        for (mut wire, id, _) in self.rest.lock().unwrap_or_else(PoisonError::into_inner).drain(..)
+        {
+            if wire.between() == Between::Stray {
+                self.stray(id);
+            }
+        }
+    }
+
+    fn stray(&self, id: RequestId) {
+        let at = self.stage.clock.now();
+        self.stage.ledger.open().strays.push((at, id));
+    }
+
+    /// One request with the tries that its client makes.
+    async fn operation(&self, nth: usize, due: Micros) {
+        let load = &self.stage.timeline.load;
+        let arrival = self.stage.plan.sidecars[self.sidecar].arrivals[nth];
+        let class = &self.stage.timeline.classes[arrival.class];
+        let deadline = Duration::from_secs_f64(class.deadline_ms / 1e3);
+        let begin = Instant::now();
+        let mut backoff = Duration::from_secs_f64(load.backoff_ms / 1e3);
+        for attempt in 0..=load.retries {
+            let left = deadline.saturating_sub(begin.elapsed());
+            if left < Duration::from_millis(1) {
+                return;
+            }
+            let id = RequestId::new(self.sidecar, nth, attempt);
+            let (end, retry_after) = self.attempt(id, arrival.class, due, left).await;
+            if !may_try_again(class, end, begin.elapsed()) {
+                return;
+            }
+            sleep(retry_after.unwrap_or(backoff)).await;
+            backoff *= 2;
+        }
+    }
+
+    /// One try; its end, and when to come back if that was told.
+    async fn attempt(
+        &self,
+        id: RequestId,
+        class: usize,
+        due: Micros,
+        left: Duration,
+    ) -> (End, Option<Duration>) {
+        let request = self.request(id, class, left);
+        let clock = &self.stage.clock;
+        let mut row = Request {
+            id,
+            class,
+            due,
+            sent: clock.now(),
+            left: left.as_micros() as Micros,
+            ended: 0,
+            end: End::Open,
+        };
+        let rested = self.checkout();
+        let reused = rested.is_some();
+        let (mut wire, at) = match rested {
+            Some(rested) => rested,
+            None => match self.connect(self.address(), left).await {
+                Some(fresh) => fresh,
+                None => {
+                    (row.ended, row.end) = (clock.now(), End::Unreached);
+                    self.stage.ledger.request(row);
+                    return (End::Unreached, None);
+                }
+            },
+        };
+        let mut written = wire.send(request.as_bytes()).await;
+        row.sent = clock.now();
+        let nth = self.stage.ledger.request(row);
+        let mut answer = match &written {
+            Ok(()) => timeout(left + PATIENCE, wire.answer()).await.ok(),
+            Err(_) => Some(Ok(None)),
+        };
+        // A sidecar may close a connection between requests. If that crosses one, its client sends it once more
+        // on a new connection.
+        let crossed = reused && !wire.begun() && matches!(answer, Some(Ok(None) | Err(_)));
+        if crossed && let Some((fresh, _)) = self.connect(at, left).await {
+            wire = fresh;
+            written = wire.send(request.as_bytes()).await;
+            answer = match written {
+                Ok(()) => timeout(left + PATIENCE, wire.answer()).await.ok(),
+                Err(_) => Some(Ok(None)),
+            };
+        }
+        let ended = clock.now();
+        let (end, retry_after) = match answer {
+            None => (End::Silent, None),
+            Some(Err(_) | Ok(None)) => (End::Broken, None),
+            Some(Ok(Some(message))) => {
+                let end = end_of(id, &message);
+                let told = message.header("retry-after").and_then(|v| v.parse::<f64>().ok());
+                let told = told.filter(|s| (0.0..60.0).contains(s)).map(Duration::from_secs_f64);
+                let closes = message.header("connection").is_some_and(|v| v.contains("close"));
+                if !closes {
+                    self.put_back(wire, id, at);
+                }
+                (end, told)
+            }
+        };
+        self.stage.ledger.ended(nth, ended, end);
+        (end, retry_after)
+    }
+
+    async fn connect(&self, at: SocketAddr, left: Duration) -> Option<(Wire, SocketAddr)> {
+        let stream = timeout(CONNECT.min(left), TcpStream::connect(at)).await.ok()?.ok()?;
+        Some((Wire::new(stream), at))
+    }
+
+    fn request(&self, id: RequestId, class: usize, left: Duration) -> String {
+        let class = &self.stage.timeline.classes[class];
+        let head = |method: &str, more: &str| {
+            format!(
+                "{method} /{} HTTP/1.1\r\nHost: app\r\nX-Correlation-Id: {}\r\nX-Account: acme\r\n\
+                 X-Time-Left-Ms: {}\r\n{more}\r\n",
+                class.name,
+                id.wire(),
+                left.as_millis()
+            )
+        };
+        match class.effect {
+            Effect::Safe => head("GET", ""),
+            Effect::Keyed => {
+                let key =
+                    format!("Idempotency-Key: {:032x}\r\nContent-Length: 4\r\n", id.operation());
+                head("POST", &key) + "keep"
+            }
+            Effect::Unsafe => head("POST", "Content-Length: 5\r\n") + "order",
+        }
+    }
+
+    fn address(&self) -> SocketAddr {
+        let addresses = self.addresses.lock().unwrap_or_else(PoisonError::into_inner);
+        addresses[self.turn.fetch_add(1, Ordering::Relaxed) % addresses.len()]
+    }
+
+    /// A connection at rest on which nothing stands.
+    fn checkout(&self) -> Option<(Wire, SocketAddr)> {
+        loop {
+            let rested = self.rest.lock().unwrap_or_else(PoisonError::into_inner).pop_back();
+            let (mut wire, id, at) = rested?;
+            match wire.between() {
+                Between::Clean => return Some((wire, at)),
+                Between::Closed => {}
+                Between::Stray => self.stray(id),
+            }
+        }
+    }
+
+    fn put_back(&self, wire: Wire, id: RequestId, at: SocketAddr) {
+        let mut rest = self.rest.lock().unwrap_or_else(PoisonError::into_inner);
+        if rest.len() < AT_REST {
+            rest.push_back((wire, id, at));
+        }
+    }
+}
+
+fn end_of(id: RequestId, message: &Message) -> End {
+    match message.status {
+        200 if message.body == id.wire().as_bytes() => End::Served,
+        200 => End::Foreign,
+        429 | 503 => End::Refused,
+        status => End::Failed(status),
+    }
+}
+
+/// Whether a client tries again, as the platform's clients do.
+fn may_try_again(class: &Class, end: End, passed: Duration) -> bool {
+    match end {
+        End::Served | End::Foreign | End::Open => false,
+        End::Refused | End::Unreached => true,
+        End::Failed(_) | End::Broken | End::Silent => match (class.effect, class.group) {
+            (Effect::Safe, _) => true,
+            (Effect::Keyed, Group::All) => passed.as_secs_f64() * 1e3 < class.window_ms,
+            (Effect::Keyed | Effect::Unsafe, _) => false,
+        },
+    }
+}
--- /dev/null
+++ b/crates/millethook-lab/src/world/conductor.rs
@@ -0,0 +1,418 @@
+//! Plays a plan: starts everything, carries the steps out at their times, and takes it all down.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use indicatif::ProgressBar;
+use nix::sys::signal::Signal;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, sleep_until};
+
+use super::addresses::Addresses;
+use super::agent::{Agent, Directory, Mode};
+use super::client::{Clients, Lateness};
+use super::network::NetworkModel;
+use super::processes::{Ended, Events, Processes, Ready};
+use super::relay::Relay;
+use super::server::{Server, Stage};
+use super::{Options, Outcome, RunError, ServerSample, machine};
+use crate::ledger::{Absence, Clock, Ledger, Micros};
+use crate::plan::{Action, DRAIN, Plan, Step};
+use crate::timeline::{EventKind, Timeline};
+
+/// After SIGTERM the application goes on for so long.
+const GOES_ON: Duration = Duration::from_millis(300);
+/// What a planned end may take beyond the longest deadline.
+const END: Duration = Duration::from_millis(700);
+/// The lab looks after itself so often,
+const LOOK: Duration = Duration::from_millis(10);
+/// and a look that is so much later is a stall.
+const STALL: Duration = Duration::from_millis(30);
+/// Samples.
+const PROCESSES: Duration = Duration::from_secs(1);
+const SERVERS: Duration = Duration::from_millis(100);
+/// Answers may be awaited so long beyond the load.
+const LAST: Duration = Duration::from_secs(10);
+
+/// What is to happen at a time that the plan could not know.
+enum Later {
+    /// A process starts again.
+    Start { sidecar: usize },
+    /// The application goes on no longer beside a sidecar that ends.
+    StopOffering { sidecar: usize },
+    /// A planned end has taken too long.
+    Overdue { pid: i32 },
+    /// A server that left is listed no longer.
+    Gone { name: String },
+    /// A server's process comes back.
+    Back { place: usize },
+}
+
+struct Conductor {
+    timeline: Arc<Timeline>,
+    plan: Arc<Plan>,
+    stage: Arc<Stage>,
+    ledger: Arc<Ledger>,
+    clock: Clock,
+    fleet: Processes,
+    directory: Arc<Directory>,
+    agents: Vec<Arc<Agent>>,
+    relay: Arc<Relay>,
+    clients: Vec<Arc<Clients>>,
+    /// By place in the fleet: the name, its generation, and the process now there.
+    servers: Vec<(String, u32, Arc<Server>)>,
+    later: Vec<(Instant, Later)>,
+    outcome: Outcome,
+}
+
+/// Plays a run. Has to be awaited on the main thread, since daemons end with the thread that starts them.
+///
+/// # Errors
+/// The machine does not give what the lab needs. What daemons do is in the outcome.
+pub async fn play(
+    timeline: Arc<Timeline>,
+    plan: Arc<Plan>,
+    options: &Options,
+    progress: &ProgressBar,
+) -> Result<Outcome, RunError> {
+    progress.set_message("starting");
+    let (mut lead, mut events) = start(timeline, plan, options).await?;
+    if !lead.fleet.first_starts(&mut events.exits).await? {
+        return Ok(lead.finish(Duration::ZERO));
+    }
+    let lateness = Lateness::new().map_err(|e| machine("a histogram")(io::Error::other(e)))?;
+    let lateness = Arc::new(lateness);
+    lead.begin(&lateness);
+    progress.set_message("playing");
+    lead.conduct(&mut events, progress).await?;
+    Ok(lead.finish(lateness.quantile(0.99)))
+}
+
+async fn start(
+    timeline: Arc<Timeline>,
+    plan: Arc<Plan>,
+    options: &Options,
+) -> Result<(Conductor, Events), RunError> {
+    let clock = Clock::stopped();
+    let ledger = Arc::new(Ledger::default());
+    let count = timeline.sidecars.count;
+    let addresses = Addresses::take().map_err(machine("a loopback network of the lab's own"))?;
+    let directory = Arc::new(Directory::new(clock.clone(), ledger.clone()));
+    let stage = Stage::new(clock.clone(), ledger.clone(), timeline.clone(), plan.clone());
+    let stage = Arc::new(stage);
+    let any = vec![addresses.stand_in(); plan.stream_classes];
+    let mut servers = Vec::new();
+    for (place, zone) in plan.server_zones.iter().enumerate() {
+        let name = format!("s{place}");
+        let server = Server::start(&stage, name.clone(), *zone, false, &any);
+        let server = server.map_err(machine("a stand-in server"))?;
+        directory.list(&name, &server);
+        servers.push((name, 0, server));
+    }
+    let (mut agents, mut discovery) = (Vec::new(), Vec::new());
+    for (n, sidecar) in plan.sidecars.iter().enumerate() {
+        let agent = Agent::new(&directory, &timeline, plan.seed, n, sidecar.stream_class);
+        let at = agent.listen(addresses.stand_in()).await;
+        discovery.push(at.map_err(machine("an agent of discovery"))?);
+        agents.push(agent);
+    }
+    let model = NetworkModel::new(plan.seed, count, timeline.network.clone());
+    let views = timeline.views();
+    let relay = Relay::start(clock.clone(), model, count, views, addresses.stand_in()).await;
+    let relay = relay.map_err(machine("the relay"))?;
+    let (fleet, events) = Processes::new(
+        (&timeline, &plan),
+        (&ledger, &clock),
+        &relay,
+        addresses,
+        discovery,
+        options,
+    )?;
+    let conductor = Conductor {
+        timeline,
+        plan,
+        stage,
+        ledger,
+        clock,
+        fleet,
+        directory,
+        agents,
+        relay,
+        clients: Vec::new(),
+        servers,
+        later: Vec::new(),
+        outcome: Outcome::default(),
+    };
+    Ok((conductor, events))
+}
+
+impl Conductor {
+    /// The load begins: from here on the clock runs.
+    fn begin(&mut self, lateness: &Arc<Lateness>) {
+        self.clock.begin();
+        for n in 0..self.plan.sidecars.len() {
+            let at = self.fleet.addresses.listen(n, 0);
+            let clients = Clients::new(&self.stage, n, lateness, at);
+            clients.offer(!self.plan.sidecars[n].late);
+            self.clients.push(clients);
+        }
+    }
+
+    async fn conduct(
+        &mut self,
+        events: &mut Events,
+        progress: &ProgressBar,
+    ) -> Result<(), RunError> {
+        let plan = self.plan.clone();
+        let mut steps = plan.steps.iter().peekable();
+        let mut running = JoinSet::new();
+        for clients in &self.clients {
+            running.spawn(clients.clone().run());
+        }
+        let mut processes = interval(PROCESSES);
+        let mut servers = interval(SERVERS);
+        let watch = tokio::spawn(watch_for_stalls(self.clock.clone(), self.ledger.clone()));
+        let _watch = AbortOnDrop(watch.abort_handle());
+        for ticks in [&mut processes, &mut servers] {
+            ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        }
+        progress.set_length(plan.length.as_secs());
+        let end = Instant::from_std(self.clock.at(plan.length + LAST));
+        loop {
+            let next = steps.peek().map(|step| Instant::from_std(self.clock.at(step.at)));
+            let later = (0..self.later.len()).min_by_key(|n| self.later[*n].0);
+            let due = later.map(|n| self.later[n].0);
+            tokio::select! {
+                biased;
+                () = at(next) => if let Some(step) = steps.next() {
+                    self.step(step).await?;
+                },
+                () = at(due) => if let Some(n) = later {
+                    let (_, later) = self.later.swap_remove(n);
+                    self.later(later)?;
+                },
+                Some(exit) = events.exits.recv() => match self.fleet.ended(&exit) {
+                    Ended::ByItself => return Ok(()),
+                    Ended::Planned { sidecar, back } => {
+                        let start = |back| (Instant::now() + back, Later::Start { sidecar });
+                        self.later.extend(back.map(start));
+                    }
+                },
+                Some(ready) = events.readies.recv() => self.ready(&ready),
+                _ = processes.tick() => {
+                    self.fleet.sample();
+                    progress.set_position(self.clock.now() / 1_000_000);
+                }
+                _ = servers.tick() => {
+                    let load = self.servers.iter().map(|s| Some(s.2.load())).collect();
+                    self.outcome.servers.push(ServerSample { at: self.clock.now(), load });
+                }
+                done = running.join_next() => match done {
+                    Some(_) if !running.is_empty() => {}
+                    _ => return Ok(()),
+                },
+                () = sleep_until(end) => {
+                    self.fleet.finding("clients were not done 10 s after the load".into());
+                    return Ok(());
+                }
+            }
+        }
+    }
+
+    async fn step(&mut self, step: &Step) -> Result<(), RunError> {
+        tracing::info!(event = "step", at_s = step.at.as_secs_f64(), "{:?}", step.action);
+        let now = self.clock.now();
+        match step.action {
+            Action::Mark { event, begins } => self.outcome.marks.push((now, event, begins)),
+            Action::Kill { sidecar, back } => {
+                let ended = Absence { sidecar, from: now, to: Micros::MAX, ended: true };
+                self.ledger.open().absences.push(ended);
+                self.fleet.end(sidecar, back, Signal::SIGKILL);
+            }
+            Action::Terminate { sidecar, back } => {
+                let longest =
+                    self.timeline.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
+                let overdue = Duration::from_secs_f64(longest / 1e3) + END;
+                let begin = Instant::now();
+                self.later.push((begin + GOES_ON, Later::StopOffering { sidecar }));
+                for pid in self.fleet.end(sidecar, back, Signal::SIGTERM) {
+                    self.later.push((begin + overdue, Later::Overdue { pid }));
+                }
+            }
+            Action::Pause { sidecar } => {
+                self.fleet.signal(sidecar, Signal::SIGSTOP);
+                let paused = Absence { sidecar, from: now, to: Micros::MAX, ended: false };
+                self.ledger.open().absences.push(paused);
+            }
+            Action::Resume { sidecar } => {
+                self.fleet.signal(sidecar, Signal::SIGCONT);
+                self.back(sidecar, now, false);
+            }
+            Action::Reload { sidecar } => {
+                let at = self.agents[sidecar].listen(self.fleet.addresses.stand_in()).await;
+                self.fleet.reload(sidecar, at.map_err(machine("an agent of discovery"))?);
+            }
+            Action::Start { sidecar } => self.fleet.start(sidecar, 0)?,
+            Action::Twin { sidecar } => {
+                self.fleet.start(sidecar, 1)?;
+                self.clients[sidecar].also_at(self.fleet.addresses.listen(sidecar, 1));
+            }
+            Action::Server { server, kind, amount, on } => {
+                self.servers[server].2.condition(kind, amount, on);
+            }
+            Action::Replace { server } => self.replace(server)?,
+            Action::Crash { server, back } => {
+                self.servers[server].2.end();
+                self.later.push((Instant::now() + back, Later::Back { place: server }));
+            }
+            Action::Discovery { sidecar, kind, amount, on } => {
+                let mode = match kind {
+                    EventKind::DiscoveryDown if on => Mode::Down,
+                    EventKind::DiscoveryStale if on => {
+                        Mode::Stale(now.saturating_sub((amount * 1e6) as Micros))
+                    }
+                    _ => Mode::Well,
+                };
+                self.agents[sidecar].be(mode);
+            }
+            Action::Network { event, on } => self.network(event, on),
+        }
+        Ok(())
+    }
+
+    /// A sidecar's absence is over.
+    fn back(&self, sidecar: usize, now: Micros, ended: bool) {
+        let mut book = self.ledger.open();
+        let open = book.absences.iter_mut();
+        open.filter(|a| a.sidecar == sidecar && a.ended == ended && a.to == Micros::MAX)
+            .for_each(|a| a.to = now);
+    }
+
+    /// The server of a place leaves, and another comes.
+    fn replace(&mut self, place: usize) -> Result<(), RunError> {
+        let (name, generation, old) = &self.servers[place];
+        let (old_name, generation, old) = (name.clone(), generation + 1, old.clone());
+        let name = format!("s{place}-{generation}");
+        let any = vec![self.fleet.addresses.stand_in(); self.plan.stream_classes];
+        let new = Server::start(&self.stage, name.clone(), old.zone, true, &any);
+        let new = new.map_err(machine("a stand-in server"))?;
+        old.drain();
+        self.directory.leaving(&old_name);
+        self.directory.list(&name, &new);
+        self.servers[place] = (name, generation, new);
+        let gone = Later::Gone { name: old_name };
+        self.later.push((Instant::now() + DRAIN, gone));
+        tokio::spawn(async move {
+            sleep(DRAIN).await;
+            old.end();
+        });
+        Ok(())
+    }
+
+    fn network(&mut self, event: usize, on: bool) {
+        let (e, sides) = (&self.timeline.events[event], self.plan.sides[event].clone());
+        let amount = e.amount.unwrap_or(0.0);
+        let mut seen = vec![false; self.plan.stream_classes];
+        for (n, sidecar) in self.plan.sidecars.iter().enumerate() {
+            let class = sidecar.stream_class;
+            if std::mem::replace(&mut seen[class], true) {
+                continue;
+            }
+            for zone in 0..self.timeline.sidecars.zones {
+                let cut = match e.kind {
+                    EventKind::Partition => sides.parts(n, zone),
+                    EventKind::CutStreams => sides.who[n],
+                    _ => false,
+                };
+                let delayed = e.kind == EventKind::DelayStreams && sides.who[n];
+                if cut || delayed {
+                    self.stage.links.change(class, zone, |link| match (cut, on) {
+                        (true, true) => link.cuts += 1,
+                        (true, false) => link.cuts = link.cuts.saturating_sub(1),
+                        (false, on) => {
+                            let delay = Duration::from_secs_f64(amount / 1e3);
+                            link.delay = if on { delay } else { Duration::ZERO };
+                        }
+                    });
+                }
+            }
+        }
+        self.relay.model(|model| match on {
+            true => model.begin(event, e.kind, amount, sides),
+            false => model.end(event),
+        });
+    }
+
+    fn later(&mut self, later: Later) -> Result<(), RunError> {
+        match later {
+            Later::Start { sidecar } => self.fleet.start(sidecar, 0)?,
+            Later::StopOffering { sidecar } => self.clients[sidecar].offer(false),
+            Later::Overdue { pid } => self.fleet.overdue(pid),
+            Later::Gone { name } => self.directory.remove(&name),
+            Later::Back { place } => {
+                let (name, _, old) = &self.servers[place];
+                let (name, old) = (name.clone(), old.clone());
+                let new = Server::start(&self.stage, name.clone(), old.zone, true, old.addresses());
+                let new = new.map_err(machine("a stand-in server"))?;
+                self.directory.list(&name, &new);
+                self.servers[place].2 = new;
+            }
+        }
+        Ok(())
+    }
+
+    fn ready(&mut self, ready: &Ready) {
+        self.back(ready.sidecar, self.clock.now(), true);
+        if let Some(clients) = self.clients.get(ready.sidecar) {
+            clients.offer(true);
+        }
+    }
+
+    /// Ends everything that was started, and what is left is the outcome.
+    fn finish(mut self, late_p99: Duration) -> Outcome {
+        self.outcome.processes = self.fleet.end_all();
+        for (.., server) in &self.servers {
+            server.end();
+        }
+        let count = |n: &std::sync::atomic::AtomicU64| n.load(Ordering::Relaxed);
+        let traffic = self.relay.traffic.iter();
+        self.outcome.traffic =
+            traffic.map(|t| (count(&t.sent), count(&t.bytes), count(&t.got))).collect();
+        let c = &self.relay.counts;
+        self.outcome.relay = [&c.lost, &c.cut, &c.strangers, &c.overflow].map(count);
+        self.outcome.book = std::mem::take(&mut *self.ledger.open());
+        self.outcome.late_p99 = late_p99;
+        self.outcome
+    }
+}
+
+/// Ends a task with its owner.
+struct AbortOnDrop(tokio::task::AbortHandle);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Writes down when the lab stood still: what it measures then is its own.
+async fn watch_for_stalls(clock: Clock, ledger: Arc<Ledger>) {
+    let mut looked = clock.now();
+    loop {
+        sleep(LOOK).await;
+        let now = clock.now();
+        if now - looked > (LOOK + STALL).as_micros() as Micros {
+            ledger.open().stalls.push((looked, now));
+        }
+        looked = now;
+    }
+}
+
+async fn at(time: Option<Instant>) {
+    match time {
+        Some(time) => sleep_until(time).await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/millethook-lab/src/world/mod.rs
@@ -0,0 +1,94 @@
+//! The running fleet: processes, stand-ins, and the conductor that plays the plan.
+
+pub mod addresses;
+pub mod agent;
+pub mod client;
+mod conductor;
+pub mod daemon;
+pub mod http;
+pub mod links;
+pub mod network;
+pub mod processes;
+pub mod relay;
+pub mod server;
+
+use std::io;
+use std::path::PathBuf;
+use std::time::Duration;
+
+pub use conductor::play;
+
+use crate::ledger::{Book, Micros};
+use daemon::Usage;
+
+/// How a run is made.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The daemon's program.
+    pub program: PathBuf,
+    /// What it is given.
+    pub args: Vec<String>,
+    /// Where configurations and logs go.
+    pub folder: PathBuf,
+}
+
+/// Why a run did not come to its end.
+#[derive(Debug, thiserror::Error)]
+pub enum RunError {
+    /// The machine did not give what the lab needs.
+    #[error("{what}: {cause}")]
+    Machine {
+        /// What was to be done.
+        what: String,
+        /// What the system said.
+        cause: io::Error,
+    },
+}
+
+/// Names what the machine did not give.
+pub(crate) fn machine(what: impl Into<String>) -> impl FnOnce(io::Error) -> RunError {
+    let what = what.into();
+    move |cause| RunError::Machine { what, cause }
+}
+
+/// What a process used at a time.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessSample {
+    /// When.
+    pub at: Micros,
+    /// The sidecar's number; None: the lab itself.
+    pub sidecar: Option<usize>,
+    /// What.
+    pub usage: Usage,
+}
+
+/// What servers held at a time: by place in the fleet, requests taken and those of them that wait.
+#[derive(Clone, Debug)]
+pub struct ServerSample {
+    /// When.
+    pub at: Micros,
+    /// By place; None: no server there.
+    pub load: Vec<Option<(usize, usize)>>,
+}
+
+/// What one sidecar sent and got through the relay: datagrams sent, bytes, datagrams got.
+pub type TrafficRow = (u64, u64, u64);
+
+/// What a run leaves.
+#[derive(Default)]
+pub struct Outcome {
+    /// All that was written down.
+    pub book: Book,
+    /// Begins and ends of events: time, place in the timeline, whether it begins.
+    pub marks: Vec<(Micros, usize, bool)>,
+    /// What processes used.
+    pub processes: Vec<ProcessSample>,
+    /// What servers held.
+    pub servers: Vec<ServerSample>,
+    /// Datagrams, by sidecar.
+    pub traffic: Vec<TrafficRow>,
+    /// Datagrams lost by chance, lost to cuts, of strangers, and too many.
+    pub relay: [u64; 4],
+    /// The lateness that 99 of 100 arrivals stayed under.
+    pub late_p99: Duration,
+}
--- /dev/null
+++ b/crates/millethook-lab/src/world/processes.rs
@@ -0,0 +1,336 @@
+//! The daemons that run: started, watched, signalled, and ended.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+use super::addresses::Addresses;
+use super::daemon::{Exit, Launch, Usage, Wiring, configuration, signal};
+use super::http::Wire;
+use super::relay::Relay;
+use super::{Options, ProcessSample, RunError, machine};
+use crate::ledger::{Clock, Ledger};
+use crate::plan::Plan;
+use crate::timeline::Timeline;
+
+/// All daemons have to be ready within this.
+const READY: Duration = Duration::from_secs(60);
+/// Between two questions whether a daemon is ready.
+const ASK: Duration = Duration::from_millis(20);
+
+/// A daemon's process.
+struct Process {
+    sidecar: usize,
+    name: String,
+    /// It is to end: an end is no finding.
+    ending: bool,
+    /// It starts again so long after it has ended.
+    back: Option<Duration>,
+}
+
+/// A sidecar answers that it is ready.
+pub struct Ready {
+    /// Which one.
+    pub sidecar: usize,
+}
+
+/// What the end of a process was.
+pub enum Ended {
+    /// Nobody asked for it.
+    ByItself,
+    /// It was to end; its sidecar starts again after the time, if there is one.
+    Planned { sidecar: usize, back: Option<Duration> },
+}
+
+/// What happens to processes, as they tell it.
+pub struct Events {
+    /// Ends.
+    pub exits: mpsc::UnboundedReceiver<Exit>,
+    /// Starts.
+    pub readies: mpsc::UnboundedReceiver<Ready>,
+}
+
+/// All daemons of a run.
+pub struct Processes {
+    timeline: Arc<Timeline>,
+    plan: Arc<Plan>,
+    ledger: Arc<Ledger>,
+    clock: Clock,
+    relay: Arc<Relay>,
+    /// The lab's addresses.
+    pub addresses: Addresses,
+    launcher: Launch,
+    product: Option<PathBuf>,
+    /// Where the agent of each sidecar is.
+    discovery: Vec<SocketAddr>,
+    running: HashMap<i32, Process>,
+    starts: u64,
+    exits: mpsc::UnboundedSender<Exit>,
+    readies: mpsc::UnboundedSender<Ready>,
+    samples: Arc<Mutex<Vec<ProcessSample>>>,
+}
+
+impl Processes {
+    /// None yet. `discovery` is where the agent of each sidecar is.
+    ///
+    /// # Errors
+    /// The folder of configurations and logs cannot be written.
+    pub fn new(
+        (timeline, plan): (&Arc<Timeline>, &Arc<Plan>),
+        (ledger, clock): (&Arc<Ledger>, &Clock),
+        relay: &Arc<Relay>,
+        addresses: Addresses,
+        discovery: Vec<SocketAddr>,
+        options: &Options,
+    ) -> Result<(Processes, Events), RunError> {
+        let launcher = Launch {
+            program: options.program.clone(),
+            args: options.args.clone(),
+            folder: options.folder.clone(),
+        };
+        std::fs::create_dir_all(&launcher.folder).map_err(machine("the folder of logs"))?;
+        let product = match timeline.sidecars.product.as_str() {
+            "" => None,
+            text => {
+                let path = launcher.folder.join("product.toml");
+                std::fs::write(&path, text).map_err(machine("the product's file"))?;
+                Some(path)
+            }
+        };
+        let (to_exits, exits) = mpsc::unbounded_channel();
+        let (to_readies, readies) = mpsc::unbounded_channel();
+        let processes = Processes {
+            timeline: timeline.clone(),
+            plan: plan.clone(),
+            ledger: ledger.clone(),
+            clock: clock.clone(),
+            relay: relay.clone(),
+            addresses,
+            launcher,
+            product,
+            discovery,
+            running: HashMap::new(),
+            starts: 0,
+            exits: to_exits,
+            readies: to_readies,
+            samples: Arc::default(),
+        };
+        Ok((processes, Events { exits, readies }))
+    }
+
+    /// Notes what no rule covers.
+    pub fn finding(&self, text: String) {
+        tracing::warn!(event = "finding", "{text}");
+        self.ledger.open().findings.push(text);
+    }
+
+    fn wiring(&self, sidecar: usize, twin: usize) -> io::Result<Wiring> {
+        let (peers, everyone) = self.relay.peers(sidecar)?;
+        let datagrams = self.addresses.datagrams(sidecar, twin);
+        let listen = self.addresses.listen(sidecar, twin);
+        Ok(Wiring { listen, discovery: self.discovery[sidecar], datagrams, peers, everyone })
+    }
+
+    /// Starts a process of a sidecar and has it watched until it is ready.
+    pub fn start(&mut self, sidecar: usize, twin: usize) -> Result<(), RunError> {
+        let name = match twin {
+            0 => format!("n{sidecar}"),
+            n => format!("n{sidecar}-twin{n}"),
+        };
+        let started = self.launch(sidecar, twin, &name);
+        let (pid, listen) =
+            started.map_err(machine(format!("{name}: {}", self.launcher.program.display())))?;
+        let process = Process { sidecar, name, ending: false, back: None };
+        self.running.insert(pid, process);
+        let readies = self.readies.clone();
+        tokio::spawn(async move {
+            until_ready(listen).await;
+            // The run may be over.
+            let _ = readies.send(Ready { sidecar });
+        });
+        Ok(())
+    }
+
+    fn launch(&mut self, sidecar: usize, twin: usize, name: &str) -> io::Result<(i32, SocketAddr)> {
+        let wiring = self.wiring(sidecar, twin)?;
+        self.starts += 1;
+        // Another seed at each start, the same ones in each run.
+        let seed = self.plan.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15)
+            ^ (sidecar as u64) << 20
+            ^ self.starts;
+        let config = configuration(&self.timeline, sidecar, seed, &wiring);
+        let path = self.launcher.write(name, &config)?;
+        let pid = self.launcher.start(name, &path, self.product.as_deref(), self.exits.clone())?;
+        self.relay.admit(sidecar, wiring.datagrams);
+        Ok((pid, wiring.listen))
+    }
+
+    /// Starts the first daemons and waits until all are ready; false: one of them was not.
+    pub async fn first_starts(
+        &mut self,
+        exited: &mut mpsc::UnboundedReceiver<Exit>,
+    ) -> Result<bool, RunError> {
+        let first: Vec<usize> =
+            (0..self.plan.sidecars.len()).filter(|n| !self.plan.sidecars[*n].late).collect();
+        for n in &first {
+            self.start(*n, 0)?;
+        }
+        let mut asking = JoinSet::new();
+        for n in first {
+            asking.spawn(until_ready(self.addresses.listen(n, 0)));
+        }
+        let end = sleep(READY);
+        tokio::pin!(end);
+        loop {
+            tokio::select! {
+                done = asking.join_next() => if done.is_none() {
+                    return Ok(true);
+                },
+                Some(exit) = exited.recv() => {
+                    self.ended_by_itself(&exit);
+                    return Ok(false);
+                }
+                () = &mut end => {
+                    self.finding(format!("{} daemons were not ready within {READY:?}", asking.len()));
+                    return Ok(false);
+                }
+            }
+        }
+    }
+
+    fn ended_by_itself(&self, exit: &Exit) {
+        let name = self.running.get(&exit.pid).map_or("a process", |p| p.name.as_str());
+        let how = match &exit.status {
+            Ok(status) => status.to_string(),
+            Err(e) => e.to_string(),
+        };
+        let log = self.launcher.folder.join(format!("{name}.log"));
+        let log = std::fs::read_to_string(log).unwrap_or_default();
+        let last = log.lines().last().unwrap_or("its log is empty");
+        self.finding(format!("{name} ended by itself ({how}); last line of its log: {last}"));
+    }
+
+    /// Reads what hundreds of processes use beside the conductor, which has times to keep.
+    pub fn sample(&self) {
+        let at = self.clock.now();
+        let daemons = self.running.iter().map(|(pid, p)| (*pid, Some(p.sidecar)));
+        let all: Vec<_> = daemons.chain([(std::process::id() as i32, None)]).collect();
+        let samples = self.samples.clone();
+        tokio::task::spawn_blocking(move || {
+            let read = all.into_iter().filter_map(|(pid, sidecar)| {
+                Usage::of(pid).map(|usage| ProcessSample { at, sidecar, usage })
+            });
+            let read: Vec<_> = read.collect();
+            samples.lock().unwrap_or_else(PoisonError::into_inner).extend(read);
+        });
+    }
+
+    /// The processes of a sidecar that run.
+    fn pids(&self, sidecar: usize) -> Vec<i32> {
+        let mut pids: Vec<i32> = (self.running.iter())
+            .filter(|(_, p)| p.sidecar == sidecar && !p.ending)
+            .map(|(pid, _)| *pid)
+            .collect();
+        pids.sort_unstable();
+        pids
+    }
+
+    /// Sends a signal to the processes of a sidecar.
+    pub fn signal(&self, sidecar: usize, which: Signal) {
+        self.pids(sidecar).into_iter().for_each(|pid| self.send(pid, which));
+    }
+
+    fn send(&self, pid: i32, which: Signal) {
+        if let Err(e) = signal(pid, which) {
+            self.finding(format!("{which} to process {pid}: {e}"));
+        }
+    }
+
+    /// Ends the processes of a sidecar by a signal; which ones.
+    pub fn end(&mut self, sidecar: usize, back: Option<Duration>, which: Signal) -> Vec<i32> {
+        let pids = self.pids(sidecar);
+        for (nth, pid) in pids.iter().enumerate() {
+            self.send(*pid, which);
+            if let Some(process) = self.running.get_mut(pid) {
+                process.ending = true;
+                // Of twins one comes back.
+                process.back = back.filter(|_| nth == 0);
+            }
+        }
+        pids
+    }
+
+    /// A process that was to end is killed, if it still runs.
+    pub fn overdue(&self, pid: i32) {
+        if let Some(process) = self.running.get(&pid) {
+            self.finding(format!("{} had not ended in time after SIGTERM", process.name));
+            self.send(pid, Signal::SIGKILL);
+        }
+    }
+
+    /// A process has ended.
+    pub fn ended(&mut self, exit: &Exit) -> Ended {
+        match self.running.get(&exit.pid) {
+            Some(process) if process.ending => {
+                let (sidecar, back) = (process.sidecar, process.back);
+                self.running.remove(&exit.pid);
+                Ended::Planned { sidecar, back }
+            }
+            Some(_) | None => {
+                self.ended_by_itself(exit);
+                Ended::ByItself
+            }
+        }
+    }
+
+    /// A new configuration moves discovery.
+    pub fn reload(&mut self, sidecar: usize, discovery: SocketAddr) {
+        self.discovery[sidecar] = discovery;
+        let written = self.wiring(sidecar, 0).and_then(|wiring| {
+            let config = configuration(&self.timeline, sidecar, self.plan.seed, &wiring);
+            self.launcher.write(&format!("n{sidecar}"), &config)
+        });
+        match written {
+            Ok(_) => self.signal(sidecar, Signal::SIGHUP),
+            Err(e) => self.finding(format!("n{sidecar}: no new configuration: {e}")),
+        }
+    }
+
+    /// Ends all at once; what they used so far.
+    pub fn end_all(&mut self) -> Vec<ProcessSample> {
+        for pid in self.running.keys() {
+            // It may have ended in this moment.
+            let _ = signal(*pid, Signal::SIGKILL);
+        }
+        let mut samples = self.samples.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut samples = std::mem::take(&mut *samples);
+        samples.sort_by_key(|s| (s.at, s.sidecar));
+        samples
+    }
+}
+
+/// Asks a daemon until it is ready.
+async fn until_ready(at: std::net::SocketAddr) {
+    while !is_ready(at).await {
+        sleep(ASK).await;
+    }
+}
+
+/// Whether a daemon answers that it is ready.
+async fn is_ready(at: std::net::SocketAddr) -> bool {
+    let asked = timeout(Duration::from_secs(1), async {
+        let mut wire = Wire::new(TcpStream::connect(at).await.ok()?);
+        wire.send(b"GET /health/ready HTTP/1.1\r\nHost: app\r\n\r\n").await.ok()?;
+        wire.answer().await.ok()?
+    });
+    matches!(asked.await, Ok(Some(answer)) if answer.status == 200)
+}
--- /dev/null
+++ b/crates/millethook-lab/tests/figures.rs
@@ -0,0 +1,197 @@
+//! Budgets, comparisons and judges on books written by hand.
+
+use millethook_lab::compare::compare;
+use millethook_lab::figures::Figures;
+use millethook_lab::ledger::cold::{ColdBudget, Warmth};
+use millethook_lab::ledger::judge::{Rule, judge};
+use millethook_lab::ledger::{
+    Absence, Attempt, Book, End, Fate, Listed, Request, RequestId, ServerRow, Told,
+};
+use millethook_lab::timeline::{Class, Effect, Group, Rules};
+use proptest::prelude::*;
+
+fn run(seed: u64, served: f64) -> Figures {
+    Figures { timeline: "calm".into(), seed, served, ..Figures::default() }
+}
+
+#[test]
+fn two_builds_differ_only_where_their_pairs_do() {
+    let first: Vec<Figures> = (0..4).map(|n| run(n, 0.8 + n as f64 / 100.0)).collect();
+    let better: Vec<Figures> = (0..4).map(|n| run(n, 0.85 + n as f64 / 100.0)).collect();
+    let noise = [0.02, -0.02, 0.03, -0.03];
+    let same: Vec<Figures> =
+        (0..4).map(|n| run(n, 0.8 + n as f64 / 100.0 + noise[n as usize])).collect();
+    let verdict = |second: &[Figures]| compare(&first, second)[0].verdict();
+    assert_eq!(verdict(&better), "+0.0500 to +0.0500");
+    assert_eq!(verdict(&same), "no difference");
+    assert_eq!(verdict(&better[..2]), "too few pairs (2)");
+    let void = Figures { void: Some("late".into()), ..run(0, 0.1) };
+    assert_eq!(compare(&first[..1], &[void]), []);
+}
+
+#[test]
+fn a_cold_server_falls_over_at_its_multiple_and_not_before() {
+    let warmth = Warmth { slots: 2.0, share: 0.25, length: 10_000_000 };
+    // It can do 0.5 s of work in its first second, and a little more as it warms up.
+    let falls = |work| {
+        let mut budget = ColdBudget::new(warmth, 2.0, 1_000_000);
+        (0..100).any(|n| budget.send(n * 10_000, work))
+    };
+    assert!(!falls(10_000));
+    assert!(falls(13_000));
+    let mut warm = ColdBudget::new(warmth, 2.0, 1_000_000);
+    assert!(!(0..1000).any(|n| warm.send(10_000_000 + n * 1_000, 100_000)));
+}
+
+/// A book with one request of the class, sent at 1 s with 1 s left, to two servers of two zones.
+struct Case {
+    book: Book,
+    class: Class,
+}
+
+const S: u64 = 1_000_000;
+
+fn case(effect: Effect, group: Group, end: End, ended: u64) -> Case {
+    let id = RequestId::new(0, 3, 0);
+    let row = |name: &str, zone| ServerRow {
+        name: name.into(),
+        zone,
+        started: None,
+        fell: None,
+        connections: 0,
+    };
+    let request = Request { id, class: 0, due: S, sent: S, left: S, ended, end };
+    let servers = vec![row("s0", 0), row("s1", 1)];
+    let book = Book { requests: vec![request], servers, ..Book::default() };
+    let class = Class { effect, group, window_ms: 500.0, ..Class::default() };
+    Case { book, class }
+}
+
+impl Case {
+    fn attempt(mut self, server: usize, at: u64, fate: Fate) -> Case {
+        let id = self.book.requests[0].id;
+        let ran = (!matches!(fate, Fate::TurnedAway)).then_some(at);
+        let ended = at + 10_000;
+        let (first_byte, arrived, work) = (at, at, 1_000);
+        self.book.attempts.push(Attempt {
+            id,
+            server,
+            first_byte,
+            arrived,
+            work,
+            ran,
+            fate,
+            ended,
+        });
+        self
+    }
+
+    fn away(mut self, from: u64, to: u64, ended: bool) -> Case {
+        self.book.absences.push(Absence { sidecar: 0, from, to, ended });
+        self
+    }
+
+    fn broken(&self) -> Vec<Rule> {
+        let breaches = judge(&self.book, std::slice::from_ref(&self.class), &Rules::default());
+        assert!(breaches.iter().all(|b| b.request.is_none() || !b.way.is_empty()));
+        breaches.iter().map(|b| b.rule).collect()
+    }
+}
+
+#[test]
+fn answers_are_judged_by_their_time_and_by_who_was_away() {
+    let safe = |end, ended| case(Effect::Safe, Group::All, end, ended);
+    assert_eq!(safe(End::Served, 2 * S).broken(), []);
+    // 8 ms and 50 ms are the slack.
+    assert_eq!(safe(End::Served, 2 * S + 60_000).broken(), [Rule::Lost]);
+    assert_eq!(safe(End::Served, 2 * S + 60_000).away(S, S + 10_000, false).broken(), []);
+    assert_eq!(safe(End::Broken, S + 5_000).broken(), [Rule::Lost]);
+    assert_eq!(safe(End::Broken, S + 5_000).away(S + 4_000, u64::MAX, true).broken(), []);
+    assert_eq!(safe(End::Broken, S + 5_000).away(3 * S, u64::MAX, true).broken(), [Rule::Lost]);
+    assert_eq!(safe(End::Silent, 4 * S).broken(), [Rule::Lost]);
+    assert_eq!(safe(End::Foreign, S + 1).broken(), [Rule::Lost]);
+    assert_eq!(safe(End::Unreached, S + 1).broken(), []);
+    let after = safe(End::Served, S + 5_000).attempt(0, S + 100_000, Fate::Served);
+    assert_eq!(after.broken(), [Rule::Lost]);
+}
+
+#[test]
+fn effects_are_judged_by_what_may_have_run() {
+    let order = |end| case(Effect::Unsafe, Group::All, end, S + 400_000);
+    let may_have_run =
+        [Fate::Served, Fate::Error, Fate::Reset, Fate::Silent, Fate::Abandoned, Fate::Open];
+    for fate in may_have_run {
+        let again = order(End::Served).attempt(0, S, fate).attempt(1, S + 100_000, Fate::Served);
+        assert_eq!(again.broken(), [Rule::Twice], "{fate:?}");
+        assert_eq!(order(End::Refused).attempt(0, S, fate).broken(), [Rule::Twice], "{fate:?}");
+        assert_eq!(order(End::Failed(502)).attempt(0, S, fate).broken(), [], "{fate:?}");
+    }
+    let turned_away = order(End::Served).attempt(0, S, Fate::TurnedAway);
+    assert_eq!(turned_away.attempt(1, S + 100_000, Fate::Served).broken(), []);
+    assert_eq!(order(End::Refused).attempt(0, S, Fate::TurnedAway).broken(), []);
+    // The second went out before the first was known not to have run.
+    let early =
+        order(End::Served).attempt(0, S, Fate::TurnedAway).attempt(1, S + 5_000, Fate::Served);
+    assert_eq!(early.broken(), [Rule::Twice]);
+}
+
+#[test]
+fn keyed_requests_are_judged_by_group_and_window() {
+    let keyed = |group, server, at, end| {
+        let case = case(Effect::Keyed, group, end, S + 900_000);
+        case.attempt(0, S, Fate::Reset).attempt(server, S + at, Fate::Served).broken()
+    };
+    assert_eq!(keyed(Group::Zone, 0, 300_000, End::Served), []);
+    assert_eq!(keyed(Group::Zone, 1, 300_000, End::Served), [Rule::Twice]);
+    assert_eq!(keyed(Group::All, 1, 300_000, End::Served), []);
+    assert_eq!(keyed(Group::All, 1, 600_000, End::Served), [Rule::Twice]);
+    assert_eq!(keyed(Group::All, 1, 300_000, End::Refused), []);
+    assert_eq!(keyed(Group::Zone, 0, 300_000, End::Refused), [Rule::Twice]);
+}
+
+#[test]
+fn drains_are_judged_by_the_first_word_that_still_stands() {
+    let judged = |told: &[(u64, Listed)], at| {
+        let mut case =
+            case(Effect::Safe, Group::All, End::Served, S + 900_000).attempt(0, at, Fate::Served);
+        let word = |t: &(u64, Listed)| Told { at: t.0, sidecar: 0, server: 0, listed: t.1 };
+        case.book.told = told.iter().map(word).collect();
+        case.broken()
+    };
+    use Listed::{Active, Leaving};
+    assert_eq!(judged(&[(0, Active)], S), []);
+    assert_eq!(judged(&[(0, Active), (S - 500_000, Leaving)], S), []);
+    assert_eq!(judged(&[(0, Active), (S - 600_000, Leaving)], S), [Rule::Drain]);
+    assert_eq!(judged(&[(0, Leaving), (S - 100_000, Leaving)], S), [Rule::Drain]);
+    assert_eq!(judged(&[(0, Leaving), (S - 100_000, Active)], S), []);
+}
+
+#[test]
+fn a_fall_is_the_sidecars_fault_only_if_most_of_the_work_came_from_the_told() {
+    let judged = |told| {
+        let mut case =
+            case(Effect::Safe, Group::All, End::Served, S + 900_000).attempt(0, S, Fate::Served);
+        case.book.servers[0].fell = Some(S + 1);
+        if told {
+            case.book.told = vec![Told { at: 1, sidecar: 0, server: 0, listed: Listed::Active }];
+        }
+        case.broken()
+    };
+    assert_eq!(judged(true), [Rule::Cold]);
+    assert_eq!(judged(false), []);
+}
+
+proptest! {
+    #[test]
+    fn an_id_keeps_its_parts(sidecar in 0usize..2000, arrival in 0usize..(1 << 24), attempt in 0u32..11) {
+        let id = RequestId::new(sidecar, arrival, attempt);
+        prop_assert_eq!(RequestId::parse(&id.wire()), Some(id));
+        prop_assert_eq!(id.sidecar(), sidecar);
+        prop_assert_eq!(id.operation(), RequestId::new(sidecar, arrival, 0).operation());
+    }
+
+    #[test]
+    fn no_text_crashes_the_reader(text in "\\PC{0,200}") {
+        let _ = millethook_lab::timeline::Timeline::from_toml(&text);
+    }
+}
--- /dev/null
+++ b/crates/millethook-lab/tests/processes.rs
@@ -0,0 +1,214 @@
+//! The lab as a program: several daemons, faults between them, and the verdict.
+
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+
+use millethook_testkit::within;
+
+fn timeline(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/timelines").join(name)
+}
+
+fn lab() -> Command {
+    Command::new(env!("CARGO_BIN_EXE_millethook-lab"))
+}
+
+/// The stand-in that breaks a rule: examples are built with the tests.
+fn rogue() -> PathBuf {
+    let lab = Path::new(env!("CARGO_BIN_EXE_millethook-lab"));
+    lab.with_file_name("examples").join("rogue")
+}
+
+/// Plays a timeline; a run that does not count on a busy machine is played again.
+fn played(file: &str, args: &[&str]) -> (i32, String) {
+    let mut last = (3, String::new());
+    for _ in 0..4 {
+        let run = lab().arg("run").arg(timeline(file)).args(args).output().expect("the lab starts");
+        last = (run.status.code().unwrap_or(-1), text(&run));
+        if last.0 != 3 {
+            break;
+        }
+    }
+    last
+}
+
+fn text(of: &Output) -> String {
+    String::from_utf8_lossy(&of.stdout).into_owned() + &String::from_utf8_lossy(&of.stderr)
+}
+
+fn holds(file: &str) {
+    let (code, text) = played(file, &[]);
+    assert_eq!(code, 0, "{text}");
+}
+
+#[test]
+fn sidecars_killed_while_a_server_is_silent_keep_the_rules() {
+    holds("killed.toml");
+}
+
+#[test]
+fn replaced_servers_restarts_and_a_moved_discovery_keep_the_rules() {
+    holds("replaced.toml");
+}
+
+#[test]
+fn a_zone_cut_off_pauses_and_broken_answers_keep_the_rules() {
+    holds("parted.toml");
+}
+
+/// What the judges say of a daemon that does this wrong.
+fn caught(file: &str, wrong: &str, said: &str) {
+    let rogue = rogue();
+    let daemon = rogue.to_str().expect("a path");
+    let (code, text) = played(file, &["--daemon", daemon, "--daemon-arg", wrong]);
+    assert_eq!(code, 1, "{wrong}: {text}");
+    assert!(text.contains(said), "{wrong}: {said:?} expected in {text}");
+}
+
+#[test]
+fn a_daemon_that_does_nothing_wrong_is_not_blamed() {
+    let rogue = rogue();
+    let (code, text) = played("rogue.toml", &["--daemon", rogue.to_str().expect("a path")]);
+    assert_eq!(code, 0, "{text}");
+}
+
+#[test]
+fn an_order_sent_twice_is_caught_with_its_way() {
+    caught("rogue.toml", "twice", "no effect twice: it went out again");
+    caught("rogue.toml", "twice", "takes effect");
+}
+
+#[test]
+fn a_refusal_of_what_ran_is_caught() {
+    caught("rogue.toml", "refuses", "no effect twice: it was refused though it may have run");
+}
+
+#[test]
+fn a_second_answer_is_caught() {
+    caught("rogue.toml", "answers", "no request lost: bytes came behind its answer");
+}
+
+#[test]
+fn another_ones_answer_is_caught() {
+    caught(
+        "rogue.toml",
+        "foreign",
+        "no request lost: it was answered with what was not made for it",
+    );
+}
+
+#[test]
+fn a_request_without_an_answer_is_caught() {
+    caught("rogue.toml", "loses", "no request lost: its connection ended without an answer");
+}
+
+#[test]
+fn a_late_answer_is_caught() {
+    caught("rogue.toml", "late", "no request lost: its answer came at");
+}
+
+#[test]
+fn what_goes_out_after_the_final_answer_is_caught() {
+    caught("rogue.toml", "after", "after its final answer");
+}
+
+#[test]
+fn a_send_to_a_drained_server_is_caught() {
+    caught("rogue-drained.toml", "drained", "drains kept: it went to s0");
+}
+
+#[test]
+fn a_cold_server_pushed_over_by_all_together_is_caught() {
+    caught("rogue-cold.toml", "cold", "no cold server pushed over: s0-1 fell over");
+}
+
+#[test]
+fn a_daemon_that_ends_by_itself_is_a_finding_and_ends_the_run() {
+    caught("rogue.toml", "dies", "ended by itself (exit status: 7)");
+}
+
+#[test]
+fn a_daemon_that_does_not_start_is_a_finding() {
+    let (code, text) = played("rogue.toml", &["--daemon", "/bin/false"]);
+    assert_eq!(code, 1, "{text}");
+    assert!(text.contains("ended by itself (exit status: 1)"), "{text}");
+}
+
+#[test]
+fn a_host_too_slow_for_the_load_makes_the_run_void() {
+    let folder = std::env::temp_dir().join(format!("millethook-lab-late-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let file = folder.join("late.toml");
+    // Three clients' connections at once have 500 times as much to send as one machine does.
+    let overload = "about = \"Too much for any machine\"\nduration_s = 3\nwarm_up_s = 0\nlate_p99_ms = 1\n\
+                    [sidecars]\ncount = 2\n[servers]\ncount = 2\n[load]\nper_sidecar = 1000\nretries = 0\n\
+                    [[event]]\nat_s = 0\ndo = \"load\"\namount = 60\n[[class]]\ndeadline_ms = 300\n";
+    std::fs::write(&file, overload).expect("a file");
+    let run = lab().arg("run").arg(&file).output().expect("the lab starts");
+    let _ = std::fs::remove_dir_all(&folder);
+    assert_eq!(run.status.code(), Some(3), "{}", text(&run));
+    assert!(text(&run).contains("the host was too slow"), "{}", text(&run));
+}
+
+/// Processes whose parent is this one.
+fn children(parent: u32) -> Vec<u32> {
+    let processes = std::fs::read_dir("/proc").expect("/proc");
+    let pids = processes.flatten().filter_map(|e| e.file_name().to_str()?.parse().ok());
+    pids.filter(|pid| parent_of(*pid) == Some(parent)).collect()
+}
+
+fn parent_of(pid: u32) -> Option<u32> {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    let mut fields = stat.rsplit_once(')')?.1.split_whitespace();
+    // A process that has ended and was not waited for runs no more.
+    (fields.next()? != "Z").then(|| fields.next()?.parse().ok())?
+}
+
+/// Ends the lab with the test, however that ends.
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+#[test]
+fn no_daemon_outlives_a_lab_that_is_killed() {
+    let started = lab().arg("run").arg(timeline("killed.toml")).stdout(Stdio::null()).spawn();
+    let mut lab = Running(started.expect("the lab starts"));
+    let mut daemons = Vec::new();
+    within("eight daemons", || {
+        daemons = children(lab.0.id());
+        daemons.len() == 8
+    });
+    lab.0.kill().expect("it runs");
+    lab.0.wait().expect("it ends");
+    within("no daemon", || daemons.iter().all(|pid| parent_of(*pid).is_none()));
+}
+
+#[test]
+fn a_wrong_file_is_told_whole_and_ends_with_2() {
+    let run = lab().arg("check").arg(timeline("wrong.toml")).output().expect("the lab starts");
+    assert_eq!(run.status.code(), Some(2));
+    let text = text(&run);
+    for said in [
+        "line 2: duration_s:",
+        "line 5: sidecars.cuont:",
+        "line 9: event[0].amount:",
+        "line 12: event[1].do:",
+    ] {
+        assert!(text.contains(said), "{said:?} expected in {text}");
+    }
+}
+
+#[test]
+fn all_scenarios_of_the_repository_are_sound() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios");
+    let files: Vec<PathBuf> =
+        std::fs::read_dir(folder).expect("scenarios").flatten().map(|e| e.path()).collect();
+    assert!(files.len() >= 12);
+    let run = lab().arg("check").args(&files).output().expect("the lab starts");
+    assert_eq!(run.status.code(), Some(0), "{}", text(&run));
+}
