--- a/crates/millethook-config/src/lib.rs
+++ b/crates/millethook-config/src/lib.rs
@@ -28,6 +28,8 @@
     pub connections: Connections,
     /// `[failover]`
     pub failover: Option<Failover>,
+    /// `[fleet]`
+    pub fleet: Option<Fleet>,
 }
 
 /// How log lines are written.
@@ -114,6 +116,17 @@
     pub slow_exponent: f64,
 }
 
+/// How sidecars keep a view of one another.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fleet {
+    /// What another fleet says is not heard.
+    pub name: String,
+    /// Time between two probes.
+    pub period: Duration,
+    /// Bytes a second that one process may send to others.
+    pub bytes_per_second: u32,
+}
+
 /// One thing that is wrong with a file.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fault {
@@ -230,6 +243,15 @@
                 slow_exponent: r.number("slow_exponent", 1.0..=8.0, "a figure").unwrap_or(6.0),
             });
         });
+        r.section("fleet", |r| {
+            let period = r.number("period_s", 0.1..=60.0, "seconds").unwrap_or(1.0);
+            product.fleet = Some(Fleet {
+                name: r.string("name", "a name").unwrap_or_else(|| "millethook".into()),
+                period: Duration::from_secs_f64(period),
+                bytes_per_second: r.count("bytes_per_second", 256..=1_000_000).unwrap_or(1_500)
+                    as u32,
+            });
+        });
         if let Some(m) = product.membership.as_ref().filter(|m| m.dropped_below > m.usable_above) {
             let text = format!("{} at most expected, as usable_above says", m.usable_above);
             r.fault_at("membership", "dropped_below", text);
--- a/crates/millethook-engine/src/engine.rs
+++ b/crates/millethook-engine/src/engine.rs
@@ -21,10 +21,11 @@
 use crate::discovery::Discovery;
 use crate::driver::Driver;
 use crate::figures::Figures;
+use crate::fleet::{Fleet, FleetSettings, obstacle};
 use crate::keeper::{Keeper, KeeperConfig};
 use crate::list::List;
 use crate::names::Names;
-use crate::news::PeerSender;
+use crate::news::{MembershipSink, PeerSender};
 use crate::peers::Peers;
 use crate::upstream::{Upstream, UpstreamConfig};
 
@@ -48,6 +49,8 @@
     pub connections: Limits,
     /// The other sidecars, where there is a way to them.
     pub peers: Option<PeerConfig>,
+    /// How the view of the fleet is kept; None: there is none.
+    pub fleet: Option<FleetSettings>,
 }
 
 /// The way to the other sidecars of the tier.
@@ -76,6 +79,8 @@
     tried: Rc<Notify>,
     discovery: Option<watch::Sender<SocketAddr>>,
     peers: Option<Rc<Peers>>,
+    /// The view of the fleet, where there is one.
+    pub fleet: Option<Rc<Fleet>>,
     /// Where the list of servers is kept, if it is.
     pub keeper: Option<Rc<Keeper>>,
 }
@@ -86,14 +91,24 @@
     /// # Errors
     /// Names the address that datagrams were to arrive at, if it could not be had.
     pub async fn start(config: EngineConfig, sockets: Rc<Sockets>) -> Result<Engine, String> {
+        let mut members = 0;
         let peers = match config.peers {
             Some(PeerConfig { listen, peers, all }) => {
+                members = peers.len();
                 let socket = datagrams(listen);
                 let socket = socket.map_err(|e| format!("peer_listen: {listen}: {e}"))?;
                 Some(Peers::new(socket, peers, all))
             }
             None => None,
         };
+        let fleet = config.fleet.and_then(|of| {
+            if let Some(obstacle) = obstacle(&config.settings, members) {
+                tracing::warn!(event = "fleet_off", "no view of the fleet: {obstacle}");
+                return None;
+            }
+            let sender = peers.clone()?;
+            Some(Fleet::start(&of, (config.settings.me, members), config.seed, sender))
+        });
         let names = config.names;
         let limits = &config.settings.limits;
         let figures = Rc::new(Figures::new(&names));
@@ -157,7 +172,11 @@
             }
         };
         if let Some(peers) = peers.clone() {
-            spawn_local(peers.listen(driver.clone()));
+            let (driver, fleet) = (driver.clone(), fleet.clone());
+            spawn_local(peers.listen(move |from, data| match &fleet {
+                Some(fleet) => fleet.datagram(from, data),
+                None => driver.note(from, data),
+            }));
         }
         Ok(Engine {
             driver,
@@ -169,6 +188,7 @@
             tried,
             discovery,
             peers,
+            fleet,
             keeper,
         })
     }
@@ -216,6 +236,11 @@
         }
     }
 
+    /// Datagrams that came from no peer's address, or were too long.
+    pub fn strangers(&self) -> u64 {
+        self.peers.as_ref().map_or(0, |peers| peers.strangers())
+    }
+
     /// Waits until discovery has first been tried.
     pub async fn discovery_tried(&self) {
         self.tried.notified().await;
--- /dev/null
+++ b/crates/millethook-engine/src/fleet.rs
@@ -0,0 +1,240 @@
+//! The view of the fleet at work: it has the clock and the socket that [`millethook_view`] has not, and the budget
+//! that all messages between sidecars share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use coppercart::settings::Settings;
+use millethook_frames::{Channel, ChannelConfig, Frame, Header, Kind, channel, fleet_id};
+use millethook_view::{Counts, Event, Micros, Status, View, ViewConfig};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::sleep_until;
+
+use crate::news::PeerSender;
+
+/// The number of the view's messages in frames.
+const VIEW: Kind = Kind { number: 1, weight: 4 };
+/// Bytes that may go out at once, in seconds of the budget.
+const BURST_S: u32 = 2;
+/// Log lines of changes: so many at once, and one more each second.
+const LINES: f64 = 10.0;
+/// Absent members that the figures name.
+const NAMED: usize = 64;
+
+/// How the view is kept.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetSettings {
+    /// The fleet's name: what another one says is not heard.
+    pub name: String,
+    /// Time between two probes.
+    pub period: Duration,
+    /// Bytes a second that this process may send to others.
+    pub bytes_per_second: u32,
+}
+
+/// What was not heard.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Dropped {
+    /// No frames, or of another version.
+    pub unreadable: u64,
+    /// Another fleet's.
+    pub foreign: u64,
+    /// From one peer's address in another one's name.
+    pub misnamed: u64,
+}
+
+/// The view at work.
+pub struct Fleet {
+    name: String,
+    id: u32,
+    started: Instant,
+    view: RefCell<View>,
+    channel: RefCell<Channel>,
+    peers: Rc<dyn PeerSender>,
+    wake: Notify,
+    dropped: Cell<Dropped>,
+    log: RefCell<LogBudget>,
+}
+
+/// Why there is no view where one was asked for; None: there can be one.
+pub fn obstacle(settings: &Settings, peers: usize) -> Option<String> {
+    if !settings.limits.may_tell {
+        return Some("settings.limits.mayTell does not allow it".into());
+    }
+    match peers {
+        0 => Some("peers: the addresses of the others expected".into()),
+        n if n > usize::from(u16::MAX) - 1 => Some(format!("peers: {n} are too many")),
+        n if settings.me as usize >= n => Some(format!("settings.me: below {n} expected")),
+        _ => None,
+    }
+}
+
+impl Fleet {
+    /// Starts a view on the present `LocalSet`. [`obstacle`] has to have found none.
+    pub fn start(
+        settings: &FleetSettings,
+        (me, members): (u32, usize),
+        seed: u64,
+        peers: Rc<dyn PeerSender>,
+    ) -> Rc<Fleet> {
+        let started = Instant::now();
+        // A clock before 1970 gives the first epoch; the fleet puts it right.
+        let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+        let config = ViewConfig {
+            me: me as u16,
+            members: members as u16,
+            epoch: epoch as u64,
+            period: settings.period.as_micros() as Micros,
+            seed,
+        };
+        let rate = settings.bytes_per_second;
+        let burst = rate.saturating_mul(BURST_S);
+        let channel = ChannelConfig { rate, burst, kinds: vec![VIEW] };
+        let fleet = Rc::new(Fleet {
+            name: settings.name.clone(),
+            id: fleet_id(&settings.name),
+            started,
+            view: RefCell::new(View::new(config, 0)),
+            channel: RefCell::new(Channel::new(&channel, 0)),
+            peers,
+            wake: Notify::new(),
+            dropped: Cell::default(),
+            log: RefCell::new(LogBudget { left: LINES, counted: 0, held_back: 0 }),
+        });
+        spawn_local(fleet.clone().run());
+        fleet
+    }
+
+    fn now(&self) -> Micros {
+        self.started.elapsed().as_micros() as Micros
+    }
+
+    /// Takes a datagram that came from a peer's address.
+    pub fn datagram(&self, from: u32, data: &[u8]) {
+        let mut dropped = self.dropped.get();
+        match Frame::parse(data) {
+            Err(_) => dropped.unreadable += 1,
+            Ok(frame) if frame.header.fleet != self.id => dropped.foreign += 1,
+            Ok(frame) if u32::from(frame.header.from) != from => dropped.misnamed += 1,
+            Ok(frame) => {
+                let (now, Header { from, epoch, .. }) = (self.now(), frame.header);
+                let mut view = self.view.borrow_mut();
+                for (_, content) in frame.records().filter(|r| r.0 == VIEW.number) {
+                    // What is malformed is counted by the view.
+                    let _ = view.handle(now, from, epoch, content);
+                }
+                drop(view);
+                self.wake.notify_one();
+            }
+        }
+        self.dropped.set(dropped);
+    }
+
+    /// This process is about to end.
+    pub fn leave(&self) {
+        self.view.borrow_mut().leave(self.now());
+        self.pump();
+    }
+
+    async fn run(self: Rc<Fleet>) {
+        loop {
+            let next = self.pump();
+            let next = self.started + Duration::from_micros(next);
+            tokio::select! {
+                () = sleep_until(next.into()) => {}
+                () = self.wake.notified() => {}
+            }
+        }
+    }
+
+    /// Does what is due; when there is something to do again.
+    fn pump(&self) -> Micros {
+        let now = self.now();
+        let (mut view, mut channel) = (self.view.borrow_mut(), self.channel.borrow_mut());
+        if view.poll_timeout() <= now {
+            view.tick(now);
+        }
+        while let Some((to, content)) = view.poll_transmit() {
+            channel.offer(to, VIEW.number, content);
+        }
+        let header = Header { fleet: self.id, from: view.me(), epoch: view.epoch() };
+        while let Some((to, bytes)) = channel.poll(now, header) {
+            self.peers.tell(u32::from(to), &bytes);
+        }
+        while let Some(event) = view.poll_event() {
+            self.tell(&event, now);
+        }
+        let next = view.poll_timeout();
+        channel.poll_timeout().map_or(next, |at| next.min(at))
+    }
+
+    fn tell(&self, event: &Event, now: Micros) {
+        let mut log = self.log.borrow_mut();
+        let Some(held_back) = log.line(now) else { return };
+        let Event { number, epoch, before, now } = event;
+        tracing::info!(
+            event = "peer_changed",
+            fleet = %self.name,
+            peer = number,
+            epoch,
+            held_back,
+            "peer {number} was {before:?} and is {now:?}"
+        );
+    }
+
+    /// How many members are what.
+    pub fn counts(&self) -> Counts {
+        self.view.borrow().counts()
+    }
+
+    /// The same at all that believe the same.
+    pub fn hash(&self) -> u32 {
+        self.view.borrow().hash()
+    }
+
+    /// Members that are not there, by number, at most 64 of them.
+    pub fn absent(&self) -> Vec<(u16, Status)> {
+        let view = self.view.borrow();
+        let all = (0..).map_while(|n| Some((n, view.member(n)?.status)));
+        all.filter(|(_, status)| *status != Status::Alive).take(NAMED).collect()
+    }
+
+    /// What the view counted.
+    pub fn figures(&self) -> millethook_view::Figures {
+        self.view.borrow().figures()
+    }
+
+    /// What went out.
+    pub fn sent(&self) -> channel::Counts {
+        self.channel.borrow().counts()
+    }
+
+    /// What was not heard.
+    pub fn dropped(&self) -> Dropped {
+        self.dropped.get()
+    }
+}
+
+/// Keeps a fleet in trouble from filling the log.
+struct LogBudget {
+    left: f64,
+    counted: Micros,
+    held_back: u64,
+}
+
+impl LogBudget {
+    /// Whether a line may be written, and how many were not since the last one.
+    fn line(&mut self, now: Micros) -> Option<u64> {
+        let passed = now.saturating_sub(self.counted) as f64 / 1e6;
+        self.left = (self.left + passed).min(LINES);
+        self.counted = now;
+        if self.left < 1.0 {
+            self.held_back += 1;
+            return None;
+        }
+        self.left -= 1.0;
+        Some(std::mem::take(&mut self.held_back))
+    }
+}
--- a/crates/millethook-engine/src/lib.rs
+++ b/crates/millethook-engine/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod driver;
 mod engine;
 pub mod figures;
+pub mod fleet;
 pub mod keeper;
 pub mod names;
 pub mod news;
--- a/crates/millethook-engine/src/peers.rs
+++ b/crates/millethook-engine/src/peers.rs
@@ -1,13 +1,13 @@
 //! Datagrams between sidecars of the tier.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::net::UdpSocket;
 
-use crate::news::{MembershipSink, PeerSender};
+use crate::news::PeerSender;
 
 /// The longest datagram.
 const LONGEST: usize = 256;
@@ -20,6 +20,7 @@
 pub struct Peers {
     socket: UdpSocket,
     addresses: RefCell<Addresses>,
+    strangers: Cell<u64>,
 }
 
 struct Addresses {
@@ -46,7 +47,8 @@
         peers: Vec<SocketAddr>,
         everyone: Option<SocketAddr>,
     ) -> Rc<Peers> {
-        Rc::new(Peers { socket, addresses: RefCell::new(Addresses { peers, everyone }) })
+        let addresses = RefCell::new(Addresses { peers, everyone });
+        Rc::new(Peers { socket, addresses, strangers: Cell::new(0) })
     }
 
     /// The other sidecars are elsewhere from now on.
@@ -54,8 +56,14 @@
         self.addresses.replace(Addresses { peers, everyone });
     }
 
-    /// Takes in datagrams. Those of strangers and those that are too long are passed over.
-    pub async fn listen(self: Rc<Peers>, news: impl MembershipSink) {
+    /// Datagrams that were passed over: not from a peer's address, or too long.
+    pub fn strangers(&self) -> u64 {
+        self.strangers.get()
+    }
+
+    /// Takes in datagrams, and gives them to `take` with the number of the peer. Those of strangers and those that
+    /// are too long are passed over.
+    pub async fn listen(self: Rc<Peers>, take: impl Fn(u32, &[u8])) {
         let mut buf = [0; LONGEST + 1];
         loop {
             // An error tells of a datagram that was sent, and that no reader waited for. Danger: an
@@ -65,8 +73,9 @@
                 continue;
             };
             let peer = self.addresses.borrow().peers.iter().position(|&p| p == from);
-            if let (Some(peer), true) = (peer, n <= LONGEST) {
-                news.note(peer as u32, &buf[..n]);
+            match peer.filter(|_| n <= LONGEST) {
+                Some(peer) => take(peer as u32, &buf[..n]),
+                None => self.strangers.set(self.strangers.get() + 1),
             }
         }
     }
--- a/crates/millethook-engine/src/product.rs
+++ b/crates/millethook-engine/src/product.rs
@@ -6,6 +6,7 @@
 use millethook_connect::pool::Limits;
 use millethook_membership::store::Store;
 
+use crate::fleet::FleetSettings;
 use crate::keeper::KeeperConfig;
 use crate::upstream::TrialPage;
 
@@ -57,3 +58,13 @@
         ..usual
     }
 }
+
+/// How the view of the fleet is kept, if it is.
+pub fn fleet(product: &Product) -> Option<FleetSettings> {
+    let of = product.fleet.as_ref()?;
+    Some(FleetSettings {
+        name: of.name.clone(),
+        period: of.period,
+        bytes_per_second: of.bytes_per_second,
+    })
+}
--- a/crates/millethook-engine/tests/cost.rs
+++ b/crates/millethook-engine/tests/cost.rs
@@ -41,6 +41,7 @@
         begins: Begins::Head,
         connections: Limits::default(),
         peers: None,
+        fleet: None,
         keeper: None,
     };
     let sockets = Rc::new(Sockets::of_servers(ConnectionPermits::new(64)));
--- /dev/null
+++ b/crates/millethook-frames/src/frame.rs
@@ -0,0 +1,131 @@
+//! The form of a datagram between sidecars. Numbers are big-endian.
+//!
+//! | bytes | what |
+//! | --- | --- |
+//! | 1 | version |
+//! | 4 | the fleet: CRC-32 of its name |
+//! | 2 | the sender's number |
+//! | 6 | the epoch of the sender's process |
+//! | 1, 1, n | records: kind, length, content |
+
+/// The longest datagram, as the platform bounds it.
+pub const LONGEST: usize = 256;
+/// The version that is spoken.
+pub const VERSION: u8 = 1;
+const HEADER: usize = 13;
+const RECORD_HEADER: usize = 2;
+/// The longest content of a record.
+pub const MOST_RECORD: usize = LONGEST - HEADER - RECORD_HEADER;
+
+/// Who says it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Header {
+    /// The fleet; see [`fleet_id`].
+    pub fleet: u32,
+    /// The sender's number.
+    pub from: u16,
+    /// The epoch of its process: 48 bits.
+    pub epoch: u64,
+}
+
+/// Why bytes are no frame.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum FrameError {
+    /// Longer than a frame may be, or shorter than a header.
+    #[error("{0} bytes: {HEADER} to {LONGEST} expected")]
+    Length(usize),
+    /// Another version.
+    #[error("version {0}: {VERSION} expected")]
+    Version(u8),
+    /// A record that goes beyond the end.
+    #[error("a record ends behind the frame")]
+    Truncated,
+}
+
+/// A fleet's name as a number. Two names may share one by chance; it guards against mistakes, not malice.
+pub fn fleet_id(name: &str) -> u32 {
+    crc32fast::hash(name.as_bytes())
+}
+
+/// A frame that was read: its records are known to be whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Frame<'b> {
+    /// Who says it.
+    pub header: Header,
+    records: &'b [u8],
+}
+
+impl<'b> Frame<'b> {
+    /// Reads a datagram.
+    ///
+    /// # Errors
+    /// It is no frame of this version; nothing of it may be used.
+    pub fn parse(bytes: &'b [u8]) -> Result<Frame<'b>, FrameError> {
+        if !(HEADER..=LONGEST).contains(&bytes.len()) {
+            return Err(FrameError::Length(bytes.len()));
+        }
+        let (head, records) = bytes.split_at(HEADER);
+        if head[0] != VERSION {
+            return Err(FrameError::Version(head[0]));
+        }
+        let number = |range: std::ops::Range<usize>| {
+            head[range].iter().fold(0, |n: u64, byte| n << 8 | u64::from(*byte))
+        };
+        let header =
+            Header { fleet: number(1..5) as u32, from: number(5..7) as u16, epoch: number(7..13) };
+        let frame = Frame { header, records };
+        let read: usize = frame.records().map(|(_, content)| RECORD_HEADER + content.len()).sum();
+        if read != records.len() {
+            return Err(FrameError::Truncated);
+        }
+        Ok(frame)
+    }
+
+    /// Its records: kind and content.
+    pub fn records(&self) -> impl Iterator<Item = (u8, &'b [u8])> + use<'b> {
+        let mut rest = self.records;
+        std::iter::from_fn(move || {
+            let (&[kind, length], after) = rest.split_first_chunk()?;
+            let content = after.get(..usize::from(length))?;
+            rest = &after[content.len()..];
+            Some((kind, content))
+        })
+    }
+}
+
+/// A frame that is being written.
+#[derive(Clone, Debug)]
+pub struct FrameWriter(Vec<u8>);
+
+impl FrameWriter {
+    /// An empty one.
+    pub fn new(header: Header) -> FrameWriter {
+        let mut bytes = Vec::with_capacity(LONGEST);
+        bytes.push(VERSION);
+        bytes.extend_from_slice(&header.fleet.to_be_bytes());
+        bytes.extend_from_slice(&header.from.to_be_bytes());
+        bytes.extend_from_slice(&header.epoch.to_be_bytes()[2..]);
+        FrameWriter(bytes)
+    }
+
+    /// The longest content that still fits.
+    pub fn room(&self) -> usize {
+        LONGEST.saturating_sub(self.0.len() + RECORD_HEADER)
+    }
+
+    /// Adds a record; false: it does not fit, and nothing has changed.
+    pub fn push(&mut self, kind: u8, content: &[u8]) -> bool {
+        let fits = content.len() <= self.room();
+        if fits {
+            // What fits is shorter than 256.
+            self.0.extend_from_slice(&[kind, content.len() as u8]);
+            self.0.extend_from_slice(content);
+        }
+        fits
+    }
+
+    /// The datagram.
+    pub fn finish(self) -> Vec<u8> {
+        self.0
+    }
+}
--- /dev/null
+++ b/crates/millethook-frames/tests/frames.rs
@@ -0,0 +1,91 @@
+//! Frames of any bytes, and a budget that is kept and shared.
+
+use millethook_frames::{
+    Channel, ChannelConfig, Frame, FrameError, FrameWriter, Header, Kind, LONGEST, MOST_RECORD,
+};
+use proptest::collection::vec;
+use proptest::prelude::*;
+
+const ME: Header = Header { fleet: 7, from: 3, epoch: 0x1234_5678_9abc };
+
+proptest! {
+    #[test]
+    fn any_bytes_are_read_or_turned_down(bytes in vec(any::<u8>(), 0..400)) {
+        if let Ok(frame) = Frame::parse(&bytes) {
+            let read: usize = frame.records().map(|(_, c)| c.len() + 2).sum();
+            prop_assert_eq!(read + 13, bytes.len());
+        }
+    }
+
+    #[test]
+    fn what_is_written_is_read(records in vec((any::<u8>(), vec(any::<u8>(), 0..120)), 0..6)) {
+        let mut writer = FrameWriter::new(ME);
+        let taken: Vec<_> = records.into_iter().filter(|(kind, c)| writer.push(*kind, c)).collect();
+        let bytes = writer.finish();
+        prop_assert!(bytes.len() <= LONGEST);
+        let frame = Frame::parse(&bytes).unwrap();
+        prop_assert_eq!(frame.header, ME);
+        let read: Vec<_> = frame.records().map(|(kind, c)| (kind, c.to_vec())).collect();
+        prop_assert_eq!(read, taken);
+        // Any cut within a record shows.
+        if let Some(short) = bytes.get(..bytes.len() - 1).filter(|short| short.len() >= 13) {
+            prop_assert_eq!(Frame::parse(short), Err(FrameError::Truncated));
+        }
+    }
+
+    #[test]
+    fn the_budget_holds_over_any_time(
+        offers in vec((0u64..50_000, 0u16..5, 1u8..3, 0usize..240), 1..300),
+    ) {
+        let kinds = vec![Kind { number: 1, weight: 3 }, Kind { number: 2, weight: 1 }];
+        let config = ChannelConfig { rate: 2_000, burst: 600, kinds };
+        let mut channel = Channel::new(&config, 0);
+        let (mut now, mut sent) = (0, 0);
+        for (gap, to, kind, length) in offers {
+            now += gap;
+            channel.offer(to, kind, vec![0; length]);
+            while let Some((_, bytes)) = channel.poll(now, ME) {
+                sent += bytes.len() as u64;
+            }
+            prop_assert!(sent as f64 <= 600.0 + now as f64 * 2e-3 + 2.0);
+        }
+        // All that waits goes out once the budget allows it.
+        while let Some(at) = channel.poll_timeout() {
+            now = now.max(at);
+            prop_assert!(channel.poll(now, ME).is_some());
+        }
+    }
+}
+
+#[test]
+fn kinds_share_by_weight_and_none_starves() {
+    let kinds = vec![Kind { number: 1, weight: 3 }, Kind { number: 2, weight: 1 }];
+    let mut channel = Channel::new(&ChannelConfig { rate: 10_000, burst: 256, kinds }, 0);
+    let mut sent = [0; 3];
+    for n in 0..4_000 {
+        // Each goes to a receiver of its own, and both kinds always have some that wait.
+        channel.offer(n, 1, vec![1; 100]);
+        channel.offer(n + 5_000, 2, vec![2; 100]);
+        while let Some((_, bytes)) = channel.poll(u64::from(n) * 20_000, ME) {
+            let frame = Frame::parse(&bytes).unwrap();
+            frame.records().for_each(|(kind, _)| sent[usize::from(kind)] += 1);
+        }
+    }
+    let ratio = f64::from(sent[1]) / f64::from(sent[2]);
+    assert!((2.8..3.2).contains(&ratio), "{sent:?}");
+}
+
+#[test]
+fn messages_for_one_receiver_travel_together_and_unknown_kinds_are_skipped() {
+    let kinds = vec![Kind { number: 1, weight: 1 }, Kind { number: 9, weight: 1 }];
+    let mut channel = Channel::new(&ChannelConfig { rate: 1_000, burst: 512, kinds }, 0);
+    assert!(channel.offer(4, 1, b"one".to_vec()));
+    assert!(channel.offer(4, 9, b"of the future".to_vec()));
+    assert!(!channel.offer(4, 2, b"not set up".to_vec()));
+    assert!(!channel.offer(4, 1, vec![0; MOST_RECORD + 1]));
+    let (to, bytes) = channel.poll(0, ME).expect("a datagram");
+    let frame = Frame::parse(&bytes).unwrap();
+    let known: Vec<_> = frame.records().filter(|(kind, _)| *kind == 1).collect();
+    assert_eq!((to, frame.records().count(), known), (4, 2, vec![(1, b"one".as_slice())]));
+    assert_eq!(channel.poll_timeout(), None);
+}
--- a/crates/millethook-lab/src/cli.rs
+++ b/crates/millethook-lab/src/cli.rs
@@ -323,8 +323,14 @@
     for event in &f.events {
         let back = event.back_s.map_or("not back".into(), |b| format!("back after {b:.2} s"));
         println!(
-            "  {} at {:.1} s: {:.3} before, {:.3} at worst, {back}",
-            event.name, event.at_s, event.before, event.worst
+            "  {} at {:.1} s: {:.3} before, {:.3} at worst, {back}{}",
+            event.name,
+            event.at_s,
+            event.before,
+            event.worst,
+            event
+                .view_agrees_s
+                .map_or(String::new(), |s| format!(", views agree {s:.2} s after its end"))
         );
     }
     f.faults.iter().take(4 * SHOWN).for_each(|fault| println!("FAULT {fault}"));
--- /dev/null
+++ b/crates/millethook-lab/src/figures/views.rs
@@ -0,0 +1,51 @@
+//! Whether the sidecars' views of the fleet agree, and are right.
+
+use std::collections::BTreeMap;
+
+use crate::ledger::Micros;
+use crate::world::{Outcome, ViewSample};
+
+/// A sample stands for so long, or for two rounds of questions, if those take longer.
+const STANDS: Micros = 700_000;
+
+fn running(outcome: &Outcome, at: Micros) -> usize {
+    let before = outcome.running.iter().take_while(|r| r.0 <= at);
+    before.last().map_or(0, |r| r.1)
+}
+
+/// The first time from `from` on, before `until`, at which all that run have the same view, and it holds them all.
+pub(super) fn agrees(outcome: &Outcome, from: Micros, until: Micros) -> Option<Micros> {
+    let stands = 2 * round(&outcome.views).max(STANDS / 2);
+    let mut last: BTreeMap<usize, &ViewSample> = BTreeMap::new();
+    for sample in outcome.views.iter().take_while(|s| s.at < until) {
+        last.insert(sample.sidecar, sample);
+        if sample.at < from {
+            continue;
+        }
+        // What was said before counts, as long as nobody has said otherwise.
+        last.retain(|_, s| s.at + stands > sample.at);
+        let alive = running(outcome, sample.at);
+        let right = |s: &&ViewSample| s.present == alive && s.hash == sample.hash && s.at >= from;
+        if last.len() == alive && last.values().all(right) {
+            return Some(sample.at);
+        }
+    }
+    None
+}
+
+/// The mean time between two samples of one sidecar.
+fn round(views: &[ViewSample]) -> Micros {
+    let mut first: BTreeMap<usize, (Micros, Micros, u64)> = BTreeMap::new();
+    for s in views {
+        let seen = first.entry(s.sidecar).or_insert((s.at, s.at, 0));
+        (seen.1, seen.2) = (s.at, seen.2 + 1);
+    }
+    let rounds = first.values().map(|(a, b, n)| (b - a) / (*n).max(1));
+    rounds.min().unwrap_or(0)
+}
+
+/// Samples in which somebody called more members dead than did not run.
+pub(super) fn too_dead(outcome: &Outcome, sidecars: usize) -> u64 {
+    let away = |at| sidecars.saturating_sub(running(outcome, at));
+    outcome.views.iter().filter(|s| s.dead > away(s.at)).count() as u64
+}
--- a/crates/millethook-lab/src/plan.rs
+++ b/crates/millethook-lab/src/plan.rs
@@ -326,6 +326,8 @@
     arrivals
 }
 
+/// A throttled process stands still for a part of each of these.
+const SLICE: Duration = Duration::from_millis(100);
 /// A crash without `back_after_s` lasts so long.
 const CRASH: Duration = Duration::from_millis(500);
 
@@ -355,6 +357,14 @@
                     add(at, Action::Pause { sidecar: n });
                     add(at + length, Action::Resume { sidecar: n });
                 }
+                EventKind::Throttle => {
+                    let stopped = SLICE.mul_f64(1.0 - 1.0 / amount.max(1.0));
+                    let slices = (event.for_s / SLICE.as_secs_f64()) as u32;
+                    for from in (0..slices).map(|nth| at + SLICE * nth) {
+                        add(from, Action::Pause { sidecar: n });
+                        add(from + stopped, Action::Resume { sidecar: n });
+                    }
+                }
                 EventKind::Reload => add(at, Action::Reload { sidecar: n }),
                 EventKind::Start => add(at, Action::Start { sidecar: n }),
                 EventKind::Twin => add(at, Action::Twin { sidecar: n }),
--- a/crates/millethook-lab/src/report.rs
+++ b/crates/millethook-lab/src/report.rs
@@ -235,6 +235,7 @@
         "back after s",
         "herd 50 ms",
         "herd 250 ms",
+        "views agree after s",
     ];
     html += &table(
         &columns,
@@ -248,6 +249,7 @@
                 e.back_s.map_or("not".into(), |b| format!("{b:.2}")),
                 format!("{:.1}", e.herds[0]),
                 format!("{:.1}", e.herds[1]),
+                e.view_agrees_s.map_or("-".into(), |s| format!("{s:.2}")),
             ]
         }),
     );
--- a/crates/millethook-lab/src/timeline/event.rs
+++ b/crates/millethook-lab/src/timeline/event.rs
@@ -38,6 +38,8 @@
     Terminate,
     /// SIGSTOP, and SIGCONT after `for_s`.
     Pause,
+    /// A host that runs `amount` times slower: SIGSTOP for most of each tenth of a second, over `for_s`.
+    Throttle,
     /// SIGHUP with a configuration that moves discovery.
     Reload,
     /// These sidecars start only now.
@@ -109,9 +111,14 @@
         use EventKind as K;
         match self {
             K::Mark => Target::Nobody,
-            K::Kill | K::Terminate | K::Pause | K::Reload | K::Start | K::Twin | K::Load => {
-                Target::Sidecars
-            }
+            K::Kill
+            | K::Terminate
+            | K::Pause
+            | K::Throttle
+            | K::Reload
+            | K::Start
+            | K::Twin
+            | K::Load => Target::Sidecars,
             K::Errors
             | K::Slow
             | K::Silent
@@ -140,6 +147,7 @@
         match self {
             K::Errors | K::Reset | K::BreakAnswers => Some(("a share of requests", 0.0, 1.0)),
             K::Loss | K::Duplicate | K::Reorder => Some(("a share of datagrams", 0.0, 1.0)),
+            K::Throttle => Some(("a factor of time", 1.0, 100.0)),
             K::Slow => Some(("a factor of time", 1.0, 1_000.0)),
             K::Load => Some(("a factor of load", 0.0, 100.0)),
             K::Delay | K::DelayStreams => Some(("milliseconds", 0.0, 60_000.0)),
--- a/crates/millethook-lab/src/timeline/mod.rs
+++ b/crates/millethook-lab/src/timeline/mod.rs
@@ -71,6 +71,9 @@
     pub descriptors: usize,
     /// The product's file for each, beside `LB_CONFIG`; empty: none.
     pub product: String,
+    /// Sidecars keep a view of the fleet, with a probe each so many seconds; 0: they do not. Needs
+    /// `network.may_tell`.
+    pub view_period_s: f64,
     /// Addresses under which one sidecar is seen by others: so many views of the fleet. 0: as many as there
     /// are sidecars up to 16, else 2.
     pub views: usize,
@@ -79,7 +82,15 @@
 impl Default for Sidecars {
     fn default() -> Sidecars {
         let product = String::new();
-        Sidecars { count: 8, zones: 1, memory_mb: 48, descriptors: 384, product, views: 0 }
+        Sidecars {
+            count: 8,
+            zones: 1,
+            memory_mb: 48,
+            descriptors: 384,
+            product,
+            view_period_s: 0.0,
+            views: 0,
+        }
     }
 }
 
@@ -263,6 +274,8 @@
     pub imbalance: Option<f64>,
     /// The most new connections to servers for each request.
     pub handshakes: Option<f64>,
+    /// The longest time from an event's end until all sidecars that run have the same view, in seconds.
+    pub view_agrees_within_s: Option<f64>,
 }
 
 impl Timeline {
--- a/crates/millethook-lab/src/world/addresses.rs
+++ b/crates/millethook-lab/src/world/addresses.rs
@@ -14,6 +14,8 @@
 /// Clients' port of each sidecar, and the port for datagrams.
 const CLIENTS: u16 = 3000;
 const DATAGRAMS: u16 = 7946;
+/// And the operators'.
+const ADMIN: u16 = 3001;
 /// Sidecars to each third byte.
 const ROW: usize = 200;
 
@@ -44,6 +46,11 @@
         (self.at(sidecar / ROW + twin * 20, sidecar % ROW + 1), CLIENTS).into()
     }
 
+    /// Where operators call.
+    pub fn admin(&self, sidecar: usize, twin: usize) -> SocketAddr {
+        (self.at(sidecar / ROW + twin * 20, sidecar % ROW + 1), ADMIN).into()
+    }
+
     /// Where datagrams for it really arrive.
     pub fn datagrams(&self, sidecar: usize, twin: usize) -> SocketAddr {
         (self.at(sidecar / ROW + twin * 20, sidecar % ROW + 1), DATAGRAMS).into()
--- a/crates/millethook-lab/src/world/conductor.rs
+++ b/crates/millethook-lab/src/world/conductor.rs
@@ -17,6 +17,7 @@
 use super::processes::{Ended, Events, Processes, Ready};
 use super::relay::Relay;
 use super::server::{Server, Stage};
+use super::views::Views;
 use super::{Options, Outcome, RunError, ServerSample, machine};
 use crate::ledger::{Absence, Clock, Ledger, Micros};
 use crate::plan::{Action, DRAIN, Plan, Step};
@@ -178,12 +179,19 @@
         for ticks in [&mut processes, &mut servers] {
             ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         }
+        let views = Views::new(&self.clock, &self.timeline);
+        let admins = (0..self.plan.sidecars.len()).map(|n| self.fleet.addresses.admin(n, 0));
+        let _views: Vec<AbortOnDrop> = views.watch(admins).into_iter().map(AbortOnDrop).collect();
         progress.set_length(plan.length.as_secs());
         let end = Instant::from_std(self.clock.at(plan.length + LAST));
         loop {
             let next = steps.peek().map(|step| Instant::from_std(self.clock.at(step.at)));
             let later = (0..self.later.len()).min_by_key(|n| self.later[*n].0);
             let due = later.map(|n| self.later[n].0);
+            let alive = self.fleet.running();
+            if self.outcome.running.last().is_none_or(|last| last.1 != alive) {
+                self.outcome.running.push((self.clock.now(), alive));
+            }
             tokio::select! {
                 biased;
                 () = at(next) => if let Some(step) = steps.next() {
@@ -194,7 +202,7 @@
                     self.later(later)?;
                 },
                 Some(exit) = events.exits.recv() => match self.fleet.ended(&exit) {
-                    Ended::ByItself => return Ok(()),
+                    Ended::ByItself => break,
                     Ended::Planned { sidecar, back } => {
                         let start = |back| (Instant::now() + back, Later::Start { sidecar });
                         self.later.extend(back.map(start));
@@ -211,14 +219,16 @@
                 }
                 done = running.join_next() => match done {
                     Some(_) if !running.is_empty() => {}
-                    _ => return Ok(()),
+                    _ => break,
                 },
                 () = sleep_until(end) => {
                     self.fleet.finding("clients were not done 10 s after the load".into());
-                    return Ok(());
+                    break;
                 }
             }
         }
+        self.outcome.views = views.take();
+        Ok(())
     }
 
     async fn step(&mut self, step: &Step) -> Result<(), RunError> {
--- a/crates/millethook-lab/src/world/daemon.rs
+++ b/crates/millethook-lab/src/world/daemon.rs
@@ -31,6 +31,8 @@
 pub struct Wiring {
     /// Where it accepts clients.
     pub listen: SocketAddr,
+    /// Where operators call.
+    pub admin: SocketAddr,
     /// Its agent of discovery.
     pub discovery: SocketAddr,
     /// Where its datagrams arrive.
@@ -62,6 +64,7 @@
     let zones: Vec<String> = (0..s.zones).map(Timeline::zone_name).collect();
     let mut config = json!({
         "name": format!("n{sidecar}"), "listen": wiring.listen.to_string(),
+        "admin": wiring.admin.to_string(),
         "discovery": wiring.discovery.to_string(), "seed": format!("{seed:016x}"),
         "limits": {"cores": 1.0, "memory_mb": s.memory_mb, "sockets": s.descriptors},
         "settings": {
--- a/crates/millethook-lab/src/world/mod.rs
+++ b/crates/millethook-lab/src/world/mod.rs
@@ -11,6 +11,7 @@
 pub mod processes;
 pub mod relay;
 pub mod server;
+mod views;
 
 use std::io;
 use std::path::PathBuf;
@@ -62,6 +63,21 @@
     pub usage: Usage,
 }
 
+/// What one sidecar's view of the fleet was at a time.
+#[derive(Clone, Copy, Debug)]
+pub struct ViewSample {
+    /// When.
+    pub at: Micros,
+    /// Whose.
+    pub sidecar: usize,
+    /// Members that take part.
+    pub present: usize,
+    /// Members that are thought dead.
+    pub dead: usize,
+    /// The same for all that believe the same.
+    pub hash: u64,
+}
+
 /// What servers held at a time: by place in the fleet, requests taken and those of them that wait.
 #[derive(Clone, Debug)]
 pub struct ServerSample {
@@ -85,6 +101,10 @@
     pub processes: Vec<ProcessSample>,
     /// What servers held.
     pub servers: Vec<ServerSample>,
+    /// Views of the fleet, as sidecars told them.
+    pub views: Vec<ViewSample>,
+    /// How many sidecars ran from a time on.
+    pub running: Vec<(Micros, usize)>,
     /// Datagrams, by sidecar.
     pub traffic: Vec<TrafficRow>,
     /// Datagrams lost by chance, lost to cuts, of strangers, and too many.
--- a/crates/millethook-lab/src/world/processes.rs
+++ b/crates/millethook-lab/src/world/processes.rs
@@ -1,6 +1,6 @@
 //! The daemons that run: started, watched, signalled, and ended.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -98,7 +98,12 @@
             folder: options.folder.clone(),
         };
         std::fs::create_dir_all(&launcher.folder).map_err(machine("the folder of logs"))?;
-        let product = match timeline.sidecars.product.as_str() {
+        let mut product = timeline.sidecars.product.clone();
+        let period = timeline.sidecars.view_period_s;
+        if period > 0.0 {
+            product += &format!("\n[fleet]\nname = \"lab\"\nperiod_s = {period}\n");
+        }
+        let product = match product.as_str() {
             "" => None,
             text => {
                 let path = launcher.folder.join("product.toml");
@@ -137,7 +142,8 @@
         let (peers, everyone) = self.relay.peers(sidecar)?;
         let datagrams = self.addresses.datagrams(sidecar, twin);
         let listen = self.addresses.listen(sidecar, twin);
-        Ok(Wiring { listen, discovery: self.discovery[sidecar], datagrams, peers, everyone })
+        let (admin, discovery) = (self.addresses.admin(sidecar, twin), self.discovery[sidecar]);
+        Ok(Wiring { listen, admin, discovery, datagrams, peers, everyone })
     }
 
     /// Starts a process of a sidecar and has it watched until it is ready.
@@ -244,6 +250,13 @@
         pids
     }
 
+    /// How many sidecars have a process that is to go on.
+    pub fn running(&self) -> usize {
+        let running: HashSet<usize> =
+            self.running.values().filter(|p| !p.ending).map(|p| p.sidecar).collect();
+        running.len()
+    }
+
     /// Sends a signal to the processes of a sidecar.
     pub fn signal(&self, sidecar: usize, which: Signal) {
         self.pids(sidecar).into_iter().for_each(|pid| self.send(pid, which));
--- a/crates/millethook-lab/src/world/server.rs
+++ b/crates/millethook-lab/src/world/server.rs
@@ -11,7 +11,7 @@
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Semaphore, watch};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::http::{Message, Wire, answer};
 use super::links::Links;
@@ -238,6 +238,14 @@
                     Err(_) => sleep(Duration::from_millis(10)).await,
                 },
             }
+            if let Some(listener) = listener.as_ref().filter(|_| cut) {
+                // Danger: what stood in line when the cut began, and was written on since, would be read as if it
+                // came now. It is reset, as all that was cut off, and with it the lab's own.
+                while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
+                    Wire::new(stream).reset();
+                }
+                fillers.clear();
+            }
             drop(shut);
         }
     }
--- /dev/null
+++ b/crates/millethook-view/examples/scale.rs
@@ -0,0 +1,148 @@
+//! Fleets of views on a virtual clock: time to detect and to agree, false alarms, bytes. Prints Markdown tables.
+//!
+//!     cargo run --release -p millethook-view --example scale [largest fleet]
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use std::collections::{HashMap, HashSet};
+
+use common::{PERIOD, S, Sim};
+use millethook_view::Status;
+
+fn seconds(of: Option<u64>) -> String {
+    of.map_or("-".into(), |t| format!("{:.1}", t as f64 / S as f64))
+}
+
+fn middle(mut of: Vec<Option<u64>>) -> Option<u64> {
+    of.sort_by_key(|t| t.unwrap_or(u64::MAX));
+    of[of.len() / 2]
+}
+
+/// What one fleet of a seed showed.
+struct Run {
+    started: Option<u64>,
+    first_dead: Option<u64>,
+    all_dead: Option<u64>,
+    joined: Option<u64>,
+    left: Option<u64>,
+    healed: Option<u64>,
+    quiet: f64,
+    busiest: u64,
+}
+
+/// Larger fleets are not cut: 20,000 tables that change whole are hours of this program.
+const CUT: u16 = 2_000;
+
+fn run(size: u16, seed: u64) -> Run {
+    let mut sim = Sim::new(size, seed);
+    sim.keeps_events = false;
+    (0..size).for_each(|n| sim.start(n));
+    let started = sim.run_until(1_200 * S, Sim::agree);
+    sim.run(30 * S);
+    sim.nodes.iter_mut().for_each(|n| n.bytes = 0);
+    sim.run(20 * S);
+    let all: u64 = sim.nodes.iter().map(|n| n.bytes).sum();
+    let gone = size / 3;
+    sim.kill(gone);
+    let dead = |v: &millethook_view::View| v.member(gone).is_some_and(|m| m.status == Status::Dead);
+    let first_dead = sim.run_until(120 * S, |sim| sim.views().any(dead));
+    let rest = sim.run_until(120 * S, Sim::agree);
+    sim.start(gone);
+    let joined = sim.run_until(120 * S, Sim::agree);
+    sim.leave(gone);
+    let left = sim.run_until(120 * S, Sim::agree);
+    let (healed, busiest) = if size <= CUT { heal(&mut sim) } else { (None, 0) };
+    let quiet = all as f64 / f64::from(size) / 20.0;
+    let all_dead = first_dead.zip(rest).map(|(a, b)| a + b);
+    Run { started, first_dead, all_dead, joined, left, healed, quiet, busiest }
+}
+
+/// Cuts a third off for 30 s; the time to agreement after that, and the most bytes of one in a second of it.
+fn heal(sim: &mut Sim) -> (Option<u64>, u64) {
+    let side = sim.nodes.len() as u16 / 3;
+    sim.passes = Box::new(move |a, b| (a < side) == (b < side));
+    sim.run(30 * S);
+    sim.passes = Box::new(|_, _| true);
+    let bytes = |sim: &Sim| sim.nodes.iter().map(|n| n.bytes).collect::<Vec<u64>>();
+    let (begin, mut last, mut busiest) = (sim.now, bytes(sim), 0);
+    while sim.now < begin + 120 * S {
+        sim.run(S / 10);
+        if (sim.now - begin).is_multiple_of(S) {
+            let now = bytes(sim);
+            busiest = now.iter().zip(&last).map(|(a, b)| a - b).max().unwrap_or(0).max(busiest);
+            last = now;
+        }
+        if sim.agree() {
+            return (Some(sim.now - begin), busiest);
+        }
+    }
+    (None, busiest)
+}
+
+fn main() {
+    let largest = std::env::args().nth(1).and_then(|a| a.parse().ok()).unwrap_or(1_800u16);
+    println!(
+        "| sidecars | seeds | agree after the start s | a crash: first dead s | dead for all s | a join known to all s \
+         | a leave known to all s | quiet B/s | after a cut of a third: agree s | most B/s of one then |"
+    );
+    println!("|{}", " --- |".repeat(10));
+    let mut leaves = Vec::new();
+    for size in [8u16, 60, 300, 1_800, 20_000].into_iter().filter(|n| *n <= largest) {
+        let seeds = match size {
+            0..=300 => 10,
+            301..=2_000 => 3,
+            _ => 1,
+        };
+        let runs: Vec<Run> = (0..seeds).map(|seed| run(size, seed)).collect();
+        let of = |what: fn(&Run) -> Option<u64>| middle(runs.iter().map(what).collect());
+        let quiet = runs.iter().map(|r| r.quiet).sum::<f64>() / runs.len() as f64;
+        let busiest = runs.iter().map(|r| r.busiest).max().unwrap_or(0);
+        let left = of(|r| r.left);
+        leaves.push((f64::from(size).ln(), left.unwrap_or(0) as f64 / PERIOD as f64));
+        println!(
+            "| {size} | {seeds} | {} | {} | {} | {} | {} | {quiet:.0} | {} | {busiest} |",
+            seconds(of(|r| r.started)),
+            seconds(of(|r| r.first_dead)),
+            seconds(of(|r| r.all_dead)),
+            seconds(of(|r| r.joined)),
+            seconds(left),
+            seconds(of(|r| r.healed)),
+        );
+    }
+    fit(&leaves);
+    alarms();
+}
+
+/// Least squares.
+fn fit(points: &[(f64, f64)]) {
+    let n = points.len() as f64;
+    let mean = |of: fn(&(f64, f64)) -> f64| points.iter().map(of).sum::<f64>() / n;
+    let (x, y) = (mean(|p| p.0), mean(|p| p.1));
+    let slope = points.iter().map(|p| (p.0 - x) * (p.1 - y)).sum::<f64>()
+        / points.iter().map(|p| (p.0 - x).powi(2)).sum::<f64>();
+    println!("\nA leave is known to all after {:.2} + {slope:.2} ln(n) periods.\n", y - slope * x);
+}
+
+/// An hour under loss, nobody dies.
+fn alarms() {
+    println!(
+        "| sidecars | loss | members called dead in an hour | longest s |\n| --- | --- | --- | --- |"
+    );
+    for (size, loss) in [8u16, 60].into_iter().flat_map(|s| [0.0, 0.05, 0.2, 0.3].map(|l| (s, l))) {
+        let mut sim = Sim::settled(size, 1);
+        sim.loss = loss;
+        sim.run(3_600 * S);
+        let (mut since, mut longest, mut called) = (HashMap::new(), 0, HashSet::new());
+        for (at, who, event) in &sim.events {
+            if event.now == Status::Dead {
+                since.insert((*who, event.number), *at);
+                // Several that say it within 10 s say it of one alarm.
+                called.insert((event.number, at / (10 * S)));
+            } else if let Some(dead) = since.remove(&(*who, event.number)) {
+                longest = longest.max(at - dead);
+            }
+        }
+        println!("| {size} | {loss} | {} | {} |", called.len(), seconds(Some(longest)));
+    }
+}
--- /dev/null
+++ b/crates/millethook-view/src/lib.rs
@@ -0,0 +1,28 @@
+//! Which sidecars of a fleet are alive, as the sidecars themselves keep track of it.
+//!
+//! Failure detection and dissemination after SWIM (Das, Gupta and Motivala, DSN 2002) with the local health and the
+//! suspicion times of Lifeguard (Dadgar, Phillips and Currey, DSN 2018). What differs, and why, is in
+//! `docs/design/view.md`: processes have epochs, dead peers are asked for ever, differences are found by a hash and
+//! mended in pieces, and no answer is longer than what it answers.
+//!
+//! [`View`] has no socket and no clock: datagrams' contents and the time, in microseconds, are handed in; messages,
+//! events and the time of the next call come out. The same calls give the same results.
+#![forbid(unsafe_code)]
+
+mod fact;
+mod message;
+mod mutant;
+mod news;
+mod probe;
+mod table;
+mod view;
+
+pub use fact::{Epoch, Fact, Status};
+pub use message::{LONGEST, Malformed};
+#[cfg(feature = "mutants")]
+pub use mutant::{Mutant, become_mutant};
+pub use table::{Counts, Member};
+pub use view::{Event, Figures, View, ViewConfig};
+
+/// Microseconds.
+pub type Micros = u64;
--- /dev/null
+++ b/crates/millethook-view/tests/common/mod.rs
@@ -0,0 +1,254 @@
+//! Many views on a virtual clock, with a network between them that loses, delays, doubles and cuts.
+
+// Each program that includes this uses a part of it.
+#![allow(dead_code)]
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use millethook_view::{Event, Micros, Status, View, ViewConfig};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+pub const S: Micros = 1_000_000;
+/// Time between two probes.
+pub const PERIOD: Micros = S;
+/// What a datagram costs beside its content: the frame's header and the record's.
+pub const OVERHEAD: u64 = 15;
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Arrives { to: u16, from: u16, epoch: u64, content: Vec<u8> },
+    Tick(u16),
+}
+
+pub struct Node {
+    pub view: Option<View>,
+    /// It does not run until then.
+    pub paused_until: Micros,
+    /// What came while it was paused.
+    inbox: Vec<(u16, u64, Vec<u8>)>,
+    /// When it last went, and whether planned.
+    pub bytes: u64,
+    pub datagrams: u64,
+    ticking: Option<Micros>,
+}
+
+pub struct Sim {
+    pub now: Micros,
+    pub nodes: Vec<Node>,
+    queue: BinaryHeap<Reverse<(Micros, u64, Due)>>,
+    next: u64,
+    random: Pcg64Mcg,
+    pub loss: f64,
+    pub duplicates: f64,
+    /// Delay of datagrams, from and to.
+    pub delay: (Micros, Micros),
+    /// Whether a datagram from the one to the other gets through.
+    pub passes: Box<dyn Fn(u16, u16) -> bool>,
+    /// What views said, with the time and by whom.
+    pub events: Vec<(Micros, u16, Event)>,
+    epoch: u64,
+    pub keeps_events: bool,
+}
+
+impl Sim {
+    pub fn new(count: u16, seed: u64) -> Sim {
+        let node = |_| Node {
+            view: None,
+            paused_until: 0,
+            inbox: Vec::new(),
+            bytes: 0,
+            datagrams: 0,
+            ticking: None,
+        };
+        Sim {
+            now: S,
+            nodes: (0..count).map(node).collect(),
+            queue: BinaryHeap::new(),
+            next: 0,
+            random: Pcg64Mcg::seed_from_u64(seed),
+            loss: 0.0,
+            duplicates: 0.0,
+            delay: (1_000, 4_000),
+            passes: Box::new(|_, _| true),
+            events: Vec::new(),
+            epoch: 1_800_000_000_000,
+            keeps_events: true,
+        }
+    }
+
+    /// All started at once and left alone until they agree.
+    pub fn settled(count: u16, seed: u64) -> Sim {
+        let mut sim = Sim::new(count, seed);
+        (0..count).for_each(|n| sim.start(n));
+        sim.run_until(60 * S, |sim| sim.agree()).expect("a fleet that starts agrees");
+        sim.events.clear();
+        sim
+    }
+
+    fn chance(&mut self) -> f64 {
+        (self.random.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    pub fn start(&mut self, number: u16) {
+        // Clocks of hosts are not alike, but processes of one are in order.
+        self.epoch += 1 + self.random.next_u64() % 1_000;
+        self.start_at(number, self.epoch);
+    }
+
+    pub fn start_at(&mut self, number: u16, epoch: u64) {
+        let members = self.nodes.len() as u16;
+        let seed = self.random.next_u64();
+        let config = ViewConfig { me: number, members, epoch, period: PERIOD, seed };
+        let node = &mut self.nodes[usize::from(number)];
+        node.view = Some(View::new(config, self.now));
+        node.inbox.clear();
+        node.paused_until = 0;
+        self.after(number);
+    }
+
+    pub fn kill(&mut self, number: u16) {
+        self.nodes[usize::from(number)].view = None;
+    }
+
+    pub fn pause(&mut self, number: u16, length: Micros) {
+        self.nodes[usize::from(number)].paused_until = self.now + length;
+        self.push(self.now + length, Due::Tick(number));
+    }
+
+    pub fn leave(&mut self, number: u16) {
+        let now = self.now;
+        if let Some(view) = &mut self.nodes[usize::from(number)].view {
+            view.leave(now);
+        }
+        self.after(number);
+        self.kill(number);
+    }
+
+    fn push(&mut self, at: Micros, due: Due) {
+        self.next += 1;
+        self.queue.push(Reverse((at, self.next, due)));
+    }
+
+    /// Sends what a view has to send, and has it called in time.
+    fn after(&mut self, number: u16) {
+        let now = self.now;
+        let mut out = Vec::new();
+        let node = &mut self.nodes[usize::from(number)];
+        let Some(view) = &mut node.view else { return };
+        let epoch = view.epoch();
+        while let Some(message) = view.poll_transmit() {
+            out.push(message);
+        }
+        while let Some(event) = view.poll_event() {
+            if self.keeps_events {
+                self.events.push((now, number, event));
+            }
+        }
+        let at = view.poll_timeout().max(now + 1);
+        let sooner = node.ticking.is_none_or(|t| at < t || t <= now);
+        if sooner {
+            node.ticking = Some(at);
+        }
+        node.bytes += out.iter().map(|(_, c)| c.len() as u64 + OVERHEAD).sum::<u64>();
+        node.datagrams += out.len() as u64;
+        if sooner {
+            self.push(at, Due::Tick(number));
+        }
+        for (to, content) in out {
+            assert!(content.len() <= millethook_view::LONGEST);
+            if !(self.passes)(number, to) || self.chance() < self.loss {
+                continue;
+            }
+            let copies = 1 + usize::from(self.chance() < self.duplicates);
+            for _ in 0..copies {
+                let (from, to_) = self.delay;
+                let delay = from + self.random.next_u64() % (to_ - from).max(1);
+                let content = content.clone();
+                self.push(now + delay, Due::Arrives { to, from: number, epoch, content });
+            }
+        }
+    }
+
+    fn step(&mut self) -> bool {
+        let Some(Reverse((at, _, due))) = self.queue.pop() else { return false };
+        self.now = self.now.max(at);
+        let now = self.now;
+        match due {
+            Due::Arrives { to, from, epoch, content } => {
+                let node = &mut self.nodes[usize::from(to)];
+                if node.paused_until > now {
+                    node.inbox.push((from, epoch, content));
+                    return true;
+                }
+                let Some(view) = &mut node.view else { return true };
+                view.handle(now, from, epoch, &content).expect("a message");
+                self.after(to);
+            }
+            Due::Tick(number) => {
+                let node = &mut self.nodes[usize::from(number)];
+                if node.paused_until > now {
+                    return true;
+                }
+                let inbox = std::mem::take(&mut node.inbox);
+                if node.ticking.is_some_and(|t| t <= now) {
+                    node.ticking = None;
+                }
+                let Some(view) = &mut node.view else { return true };
+                if view.poll_timeout() <= now {
+                    view.tick(now);
+                }
+                for (from, epoch, content) in inbox {
+                    view.handle(now, from, epoch, &content).expect("a message");
+                }
+                self.after(number);
+            }
+        }
+        true
+    }
+
+    pub fn run(&mut self, length: Micros) {
+        let end = self.now + length;
+        while self.queue.peek().is_some_and(|Reverse((at, ..))| *at <= end) {
+            self.step();
+        }
+        self.now = end;
+    }
+
+    /// Runs until something holds, looked at every tenth of a second; how long it took, or None: not in time.
+    pub fn run_until(&mut self, most: Micros, good: impl Fn(&Sim) -> bool) -> Option<Micros> {
+        let begin = self.now;
+        while !good(self) {
+            if self.now >= begin + most {
+                return None;
+            }
+            self.run(S / 10);
+        }
+        Some(self.now - begin)
+    }
+
+    pub fn views(&self) -> impl Iterator<Item = &View> {
+        self.nodes.iter().filter_map(|n| n.view.as_ref())
+    }
+
+    /// Whether all that run believe the same, and that just those that run are alive.
+    pub fn agree(&self) -> bool {
+        let mut hashes = self.views().map(View::hash);
+        let first = hashes.next();
+        let same = hashes.all(|h| Some(h) == first);
+        let running = self.views().count();
+        same && self.views().next().is_none_or(|view| {
+            let counts = view.counts();
+            let live = |n: usize| view.member(n as u16).is_some_and(|m| m.status.is_present());
+            counts.alive + counts.suspect == running
+                && self.nodes.iter().enumerate().all(|(n, node)| node.view.is_none() || live(n))
+        })
+    }
+
+    /// How many times a running process was called dead by another.
+    pub fn called_dead(&self, running: impl Fn(u16) -> bool) -> usize {
+        let dead = |e: &&(Micros, u16, Event)| e.2.now == Status::Dead && running(e.2.number);
+        self.events.iter().filter(dead).count()
+    }
+}
--- a/crates/millethook/src/config.rs
+++ b/crates/millethook/src/config.rs
@@ -12,6 +12,7 @@
 use millethook_config::Product;
 use millethook_connect::Begins;
 use millethook_connect::pool::Limits;
+use millethook_engine::fleet::FleetSettings;
 use millethook_engine::keeper::KeeperConfig;
 use millethook_engine::list::List;
 use millethook_engine::names::Names;
@@ -98,6 +99,8 @@
     pub(crate) begins: Begins,
     pub(crate) connections: Limits,
     pub(crate) keeper: Option<KeeperConfig>,
+    pub(crate) peers: Option<(SocketAddr, Vec<SocketAddr>)>,
+    pub(crate) view: Option<FleetSettings>,
     pub(crate) settings: Settings,
     pub(crate) names: Arc<Names>,
     pub(crate) sockets: usize,
@@ -114,7 +117,7 @@
     }
 }
 
-/// The file's form. Keys that only the daemon needs (`listen`, `peers`) are passed over.
+/// The file's form. Keys that only the daemon needs (`listen`) are passed over.
 #[derive(Deserialize)]
 struct File {
     name: String,
@@ -126,6 +129,9 @@
     begins: Option<String>,
     #[serde(default)]
     connections: Connections,
+    peer_listen: Option<SocketAddr>,
+    #[serde(default)]
+    peers: Vec<SocketAddr>,
     settings: Value,
 }
 
@@ -224,6 +230,8 @@
             begins,
             connections,
             keeper: None,
+            peers: file.peer_listen.map(|listen| (listen, file.peers)),
+            view: None,
             settings,
             names: Arc::new(names),
             sockets: at_least("sockets", limits.sockets.unwrap_or(SOCKETS), 1)?,
@@ -241,7 +249,7 @@
     }
 
     /// Adds what the product's own file says: how the list of servers is kept, limits on connections, what is
-    /// done about slow servers. `[log]` is the host's affair and passed over. Limits that the file names go
+    /// done about slow servers, and the view of the fleet, where there are [`FleetBuilder::peers`]. `[log]` is the host's affair and passed over. Limits that the file names go
     /// before those set in code.
     ///
     /// # Errors
@@ -251,6 +259,7 @@
         let product = product.map_err(|e| OpenError::Config(e.to_string()))?;
         let keeper = product::keeper(&product, &self.name).map_err(OpenError::Config)?;
         self.keeper = keeper;
+        self.view = product::fleet(&product);
         self.connections = product::connections(&product, self.connections);
         product::retune(&product, &mut self.settings);
         // Another opening of the fleet has to have the same file.
@@ -312,6 +321,7 @@
     name: String,
     discovery: Option<SocketAddr>,
     seed: Option<u64>,
+    peers: Option<(SocketAddr, Vec<SocketAddr>)>,
     hosts: Vec<Value>,
     classes: Vec<Value>,
     tenants: Vec<Value>,
@@ -342,6 +352,7 @@
             name: name.to_owned(),
             discovery: None,
             seed: None,
+            peers: None,
             hosts: Vec::new(),
             classes: Vec::new(),
             tenants: Vec::new(),
@@ -413,6 +424,17 @@
         self
     }
 
+    /// The other instances of the fleet, this one among them: where their datagrams arrive here, the own number
+    /// and the address of each by its number. They are told of nothing unless the product's file has `[fleet]`
+    /// ([`FleetConfig::with_product`]); then they keep a view of who is alive.
+    pub fn peers(mut self, listen: SocketAddr, me: u32, peers: &[SocketAddr]) -> FleetBuilder {
+        self.peers = Some((listen, peers.to_vec()));
+        self.settings["me"] = me.into();
+        self.settings["instances"] = peers.len().into();
+        self.settings["limits"]["mayTell"] = true.into();
+        self
+    }
+
     /// The seed of random numbers, for runs that are to be alike (a random one if not set).
     pub fn seed(mut self, seed: u64) -> FleetBuilder {
         self.seed = Some(seed);
@@ -498,6 +520,11 @@
         if let Some(seed) = self.seed {
             config["seed"] = format!("{seed:016x}").into();
         }
+        if let Some((listen, peers)) = self.peers {
+            let peers: Vec<String> = peers.iter().map(SocketAddr::to_string).collect();
+            config["peer_listen"] = listen.to_string().into();
+            config["peers"] = peers.into();
+        }
         if !self.hosts.is_empty() {
             config["known"] = json!({"seq": 0, "whole": true, "hosts": self.hosts});
         }
--- a/crates/millethook/src/thread.rs
+++ b/crates/millethook/src/thread.rs
@@ -10,7 +10,7 @@
 use millethook_engine::driver::{Driver, Reply, RequestHead, Usage};
 use millethook_engine::list::List;
 use millethook_engine::upstream::AttemptRequest;
-use millethook_engine::{Engine, EngineConfig};
+use millethook_engine::{Engine, EngineConfig, PeerConfig};
 use millethook_http::guard::OpenIds;
 use millethook_http::head::Invalid;
 use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot, watch};
@@ -78,7 +78,13 @@
         known: config.known.clone(),
         begins: config.begins,
         connections: config.connections,
-        peers: None,
+        // Without a view there is nothing that is said between instances of a library.
+        peers: config.view.as_ref().and(config.peers.clone()).map(|(listen, peers)| PeerConfig {
+            listen,
+            peers,
+            all: None,
+        }),
+        fleet: config.view.clone(),
         keeper: config.keeper.clone().map(|keeper| (config.name.clone(), keeper)),
     };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -130,6 +136,9 @@
         () = serving => {}
         () = ready => {}
     }
+    if let Some(fleet) = &engine.fleet {
+        fleet.leave();
+    }
     if let Some(keeper) = &engine.keeper {
         keeper.save().await;
     }
--- a/crates/plankvale/src/cli.rs
+++ b/crates/plankvale/src/cli.rs
@@ -29,6 +29,12 @@
         /// The file
         file: PathBuf,
     },
+    /// Print the view of the fleet that one or many sidecars have; exit with 0 if they agree, 1 if not, 2 if
+    /// nobody answers
+    Fleet {
+        /// An operators' address, an LB_CONFIG file that names one (admin), or a file with one a line
+        whom: String,
+    },
     /// The list of servers that is kept over restarts
     Membership {
         #[command(subcommand)]
@@ -56,6 +62,7 @@
     pub fn carry_out(&self) -> Option<ExitCode> {
         let done = match self.command.as_ref()? {
             Command::Check { file } => check(file),
+            Command::Fleet { whom } => return Some(crate::fleet::show(whom)),
             Command::Membership { command: MembershipCommand::Show { file } } => show(file),
         };
         Some(match done {
--- a/crates/plankvale/src/lib.rs
+++ b/crates/plankvale/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod cli;
 pub mod config;
+mod fleet;
 mod operated;
 mod shutdown;
 mod succession;
@@ -80,6 +81,7 @@
         connections,
         keeper: keeper.map(|keeper| (config.name.clone(), keeper)),
         peers,
+        fleet: product::fleet(&config.product),
     };
     let engine = Rc::new(Engine::start(engine, sockets).await?);
     let bytes = Bytes::new((config.memory as f64 * BODIES) as usize);
@@ -127,6 +129,9 @@
         () = stop => {}
     }
     operated.stopping();
+    if let Some(fleet) = &engine.fleet {
+        fleet.leave();
+    }
     // What is known at the end is kept, however the rest goes.
     if let Some(keeper) = engine.keeper.clone() {
         spawn_local(async move { keeper.save().await });
@@ -187,6 +192,7 @@
             ("[log]", a.log != b.log),
             ("[membership]", a.membership != b.membership),
             ("[connections]", a.connections != b.connections),
+            ("[fleet]", a.fleet != b.fleet),
         ];
         differs.into_iter().filter_map(|(key, differs)| differs.then_some(key)).collect()
     }
--- a/crates/plankvale/src/operated.rs
+++ b/crates/plankvale/src/operated.rs
@@ -5,8 +5,36 @@
 
 use millethook_admin::{Operator, statsd};
 use millethook_engine::Engine;
+use millethook_engine::fleet::Fleet;
 use millethook_http::ingress::Ingress;
 
+/// What `plankvale fleet` reads.
+fn view(lines: &mut statsd::Lines, fleet: &Fleet, strangers: u64) {
+    let (counts, figures) = (fleet.counts(), fleet.figures());
+    lines.gauge("fleet.unknown", counts.unknown);
+    lines.gauge("fleet.alive", counts.alive);
+    lines.gauge("fleet.suspect", counts.suspect);
+    lines.gauge("fleet.dead", counts.dead);
+    lines.gauge("fleet.left", counts.left);
+    lines.gauge("fleet.hash", fleet.hash() as usize);
+    for (number, status) in fleet.absent() {
+        let status = format!("{status:?}").to_lowercase();
+        lines.gauge(format_args!("fleet.absent.{number}.{status}"), 1);
+    }
+    lines.count("fleet.probes_failed", figures.probes_failed);
+    lines.count("fleet.refuted", figures.refuted);
+    lines.count("fleet.superseded", figures.superseded);
+    lines.count("fleet.stalls", figures.stalls);
+    let (sent, dropped) = (fleet.sent(), fleet.dropped());
+    lines.count("fleet.datagrams", sent.datagrams);
+    lines.count("fleet.bytes", sent.bytes);
+    lines.count("fleet.held_too_long", sent.dropped);
+    lines.count("fleet.strangers", strangers);
+    lines.count("fleet.unreadable", dropped.unreadable + figures.malformed);
+    lines.count("fleet.foreign", dropped.foreign);
+    lines.count("fleet.misnamed", dropped.misnamed);
+}
+
 /// Configurations that came while the daemon ran.
 #[derive(Default)]
 pub struct Reloaded {
@@ -56,6 +84,9 @@
             lines.count("membership.snapshots_written", writes.done);
             lines.count("membership.snapshots_failed", writes.failed);
         }
+        if let Some(fleet) = &self.engine.fleet {
+            view(&mut lines, fleet, self.engine.strangers());
+        }
         lines.count("sighup_applied", self.reloaded.applied.get());
         lines.count("sighup_rejected", self.reloaded.rejected.get());
         lines.into_string()
