--- a/crates/millethook-config/tests/file.rs
+++ b/crates/millethook-config/tests/file.rs
@@ -1,6 +1,6 @@
 //! The file as people write it, with and without mistakes.
 
-use millethook_config::{Failover, Fault, LogFormat, Membership, Product};
+use millethook_config::{Failover, Fault, Fleet, LogFormat, Membership, Product};
 use proptest::prelude::*;
 
 /// The reference that is shipped.
@@ -31,6 +31,10 @@
     assert_eq!(usual, Membership::default());
     assert_eq!(product.failover, Some(Failover { copy_at_aim: true, slow_exponent: 6.0 }));
     assert_eq!(product.log.format, LogFormat::Text);
+    let empty = Product::from_toml("[fleet]\n").expect("sound").fleet;
+    let second = std::time::Duration::from_secs(1);
+    let usual = Fleet { name: "millethook".into(), period: second, bytes_per_second: 1_500 };
+    assert_eq!((&product.fleet, &empty), (&Some(usual), &product.fleet));
 }
 
 #[test]
--- a/crates/millethook-view/examples/scale.rs
+++ b/crates/millethook-view/examples/scale.rs
@@ -1,6 +1,6 @@
 //! Fleets of views on a virtual clock: time to detect and to agree, false alarms, bytes. Prints Markdown tables.
 //!
-//!     cargo run --release -p millethook-view --example scale [largest fleet]
+//!     cargo run --release -p millethook-view --example scale [sizes of fleets]
 
 #[path = "../tests/common/mod.rs"]
 mod common;
@@ -81,14 +81,17 @@
 }
 
 fn main() {
-    let largest = std::env::args().nth(1).and_then(|a| a.parse().ok()).unwrap_or(1_800u16);
+    let mut sizes: Vec<u16> = std::env::args().skip(1).filter_map(|a| a.parse().ok()).collect();
+    if sizes.is_empty() {
+        sizes = vec![8, 60, 300, 1_800];
+    }
     println!(
         "| sidecars | seeds | agree after the start s | a crash: first dead s | dead for all s | a join known to all s \
          | a leave known to all s | quiet B/s | after a cut of a third: agree s | most B/s of one then |"
     );
     println!("|{}", " --- |".repeat(10));
     let mut leaves = Vec::new();
-    for size in [8u16, 60, 300, 1_800, 20_000].into_iter().filter(|n| *n <= largest) {
+    for size in sizes {
         let seeds = match size {
             0..=300 => 10,
             301..=2_000 => 3,
--- a/crates/millethook/src/fleet.rs
+++ b/crates/millethook/src/fleet.rs
@@ -16,6 +16,7 @@
 use millethook_engine::upload::{LONGEST_UPLOAD, NotTaken, Upload};
 use millethook_http::answer;
 use millethook_http::body::{FeedError, Held, Pace, ReadError, feed, framing, hold};
+use millethook_view::Counts;
 use tokio::sync::{Notify, Semaphore, mpsc, oneshot, watch};
 use tokio::time::{timeout, timeout_at};
 use tower_service::Service;
@@ -32,6 +33,23 @@
 /// itself: the engine's thread has no processor, or is gone.
 const GRACE: Duration = Duration::from_millis(100);
 
+/// What an instance believes of the others: how many are what.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerView {
+    /// Never heard of.
+    pub unknown: usize,
+    /// Alive, this one among them.
+    pub alive: usize,
+    /// Without an answer lately.
+    pub suspect: usize,
+    /// Without an answer for so long that they are thought dead.
+    pub dead: usize,
+    /// Said that they end.
+    pub left: usize,
+    /// The same at all instances that believe the same.
+    pub hash: u32,
+}
+
 /// One engine, and what all its handles share.
 pub(crate) struct Shared {
     pub(crate) config: FleetConfig,
@@ -397,6 +415,18 @@
         })
     }
 
+    /// What this instance believes of the others. None: it keeps no view (see [`FleetBuilder::peers`]), or the
+    /// fleet has ended. Cancel-safe.
+    ///
+    /// [`FleetBuilder::peers`]: crate::FleetBuilder::peers
+    pub async fn view(&self) -> Option<PeerView> {
+        let (to, told) = oneshot::channel();
+        self.shared().commands.send(Command::View(to)).ok()?;
+        let (counts, hash) = told.await.ok()??;
+        let Counts { unknown, alive, suspect, dead, left } = counts;
+        Some(PeerView { unknown, alive, suspect, dead, left, hash })
+    }
+
     /// Whether the fleet's configuration has this class.
     pub(crate) fn has_class(&self, class: &str) -> bool {
         self.shared().config.names.classes.contains_key(class)
--- a/crates/millethook/src/lib.rs
+++ b/crates/millethook/src/lib.rs
@@ -47,7 +47,7 @@
 pub use budget::Budget;
 pub use config::{ClassConfig, FleetBuilder, FleetConfig, Repeat};
 pub use error::{BoxError, Error, Execution, Invalid, OpenError};
-pub use fleet::{Drained, Fleet, Usage};
+pub use fleet::{Drained, Fleet, PeerView, Usage};
 pub use inherit::{Inherit, InheritLayer, Inherited};
 pub use member::{Closed, Member};
 pub use millethook_connect::Begins;
--- a/crates/millethook/src/thread.rs
+++ b/crates/millethook/src/thread.rs
@@ -34,6 +34,7 @@
 pub(crate) enum Command {
     Call(Box<Call>),
     Usage(oneshot::Sender<Usage>),
+    View(oneshot::Sender<Option<(millethook_view::Counts, u32)>>),
     Servers(List),
     Stop,
 }
@@ -127,6 +128,10 @@
                     spawn_local(serve(engine.driver.clone(), ids.clone(), *call));
                 }
                 Command::Usage(to) => drop(to.send(engine.driver.usage())),
+                Command::View(to) => {
+                    let view = engine.fleet.as_ref().map(|fleet| (fleet.counts(), fleet.hash()));
+                    let _ = to.send(view);
+                }
                 Command::Servers(list) => engine.servers(&list),
                 Command::Stop => return,
             }
--- a/crates/millethook/tests/library/main.rs
+++ b/crates/millethook/tests/library/main.rs
@@ -9,3 +9,4 @@
 mod middleware;
 mod runtime;
 mod sharing;
+mod view;
--- /dev/null
+++ b/crates/plankvale/tests/sidecar/fleet.rs
@@ -0,0 +1,148 @@
+//! The view of the fleet as datagrams and operators meet it. What many processes do together is the lab's.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::path::PathBuf;
+use std::process::Command;
+
+use millethook_frames::{Frame, FrameWriter, Header, fleet_id};
+use millethook_testkit::*;
+use serde_json::{Value, json};
+
+/// The kind of the view's records.
+const VIEW: u8 = 1;
+
+/// A product's file that turns the view on, removed with the test.
+struct Product(PathBuf);
+
+impl Product {
+    fn new(test: &str) -> Product {
+        let path =
+            std::env::temp_dir().join(format!("millethook-fleet-{}-{test}", std::process::id()));
+        std::fs::write(&path, "[fleet]\nname = \"tests\"\nperiod_s = 0.1\n").expect("written");
+        Product(path)
+    }
+
+    fn start(&self, config: &Value) -> Sidecar {
+        let path = self.0.to_str().expect("a path");
+        Sidecar::launch_with(config, &[("MILLETHOOK_CONFIG", path)])
+    }
+}
+
+impl Drop for Product {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+fn free() -> SocketAddr {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("an address");
+    socket.local_addr().expect("an address")
+}
+
+fn peered(agent: &Agent, me: usize, peers: &[SocketAddr]) -> Value {
+    config(agent.address, |c| {
+        c["admin"] = json!("127.0.0.1:0");
+        c["peer_listen"] = json!(peers[me].to_string());
+        c["peers"] = peers.iter().map(SocketAddr::to_string).collect();
+        c["settings"]["me"] = json!(me);
+        c["settings"]["instances"] = json!(peers.len());
+        c["settings"]["limits"]["mayTell"] = json!(true);
+    })
+}
+
+#[test]
+fn two_sidecars_see_each_other_and_operators_see_that_they_agree() {
+    let product = Product::new("two");
+    let agent = Agent::start(hosts(&[Server::named("a")]));
+    let peers = [free(), free()];
+    let first = product.start(&peered(&agent, 0, &peers));
+    let mut second = product.start(&peered(&agent, 1, &peers));
+    within("both alive", || [&first, &second].iter().all(|s| s.figure("sidecar.fleet.alive") == 2));
+    within("one hash", || {
+        first.figure("sidecar.fleet.hash") == second.figure("sidecar.fleet.hash")
+    });
+    let list = std::env::temp_dir().join(format!("millethook-fleet-{}-list", std::process::id()));
+    let (a, b) = (first.admin.expect("one"), second.admin.expect("one"));
+    std::fs::write(&list, format!("{a}\n{b}\n")).expect("written");
+    let show = |whom: &str| {
+        let output =
+            Command::new(program("plankvale")).args(["fleet", whom]).output().expect("it runs");
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        (output.status.code(), text + &String::from_utf8_lossy(&output.stderr))
+    };
+    let (code, text) = show(list.to_str().expect("a path"));
+    assert!(code == Some(0) && text.contains("2 views: all agree"), "{text}");
+    let (code, text) = show(&a.to_string());
+    assert!(code == Some(0) && text.contains("alive 2"), "{text}");
+    assert_eq!(second.ends(), Some(0));
+    within("it left", || first.figure("sidecar.fleet.left") == 1);
+    let (_, text) = show(&a.to_string());
+    assert!(text.contains("1 left"), "{text}");
+    std::fs::write(&list, "no address\n").expect("written");
+    let (code, text) = show(list.to_str().expect("a path"));
+    assert!(code == Some(2) && text.contains("line 1: an address and a port expected"), "{text}");
+    let _ = std::fs::remove_file(&list);
+}
+
+#[test]
+fn what_is_no_peers_word_is_dropped_counted_and_not_answered() {
+    let product = Product::new("words");
+    let agent = Agent::start(hosts(&[Server::named("a")]));
+    let peer = UdpSocket::bind("127.0.0.1:0").expect("an address");
+    peer.set_read_timeout(Some(BOUND)).expect("a bound");
+    let peers = [free(), peer.local_addr().expect("an address")];
+    let sidecar = product.start(&peered(&agent, 0, &peers));
+    let frame = |fleet: &str, from: u16| {
+        let epoch = 1_700_000_000_000;
+        FrameWriter::new(Header { fleet: fleet_id(fleet), from, epoch })
+    };
+    let send = |bytes: &[u8]| {
+        peer.send_to(bytes, peers[0]).expect("sent");
+    };
+    let figure = |name: &str| sidecar.figure(&format!("sidecar.fleet.{name}"));
+    send(b"no frame at all");
+    let mut version = frame("tests", 1).finish();
+    version[0] = 9;
+    send(&version);
+    within("unreadable", || figure("unreadable") == 2);
+    send(&frame("another", 1).finish());
+    send(&frame("tests", 0).finish());
+    within("foreign and misnamed", || (figure("foreign"), figure("misnamed")) == (1, 1));
+    let stranger = UdpSocket::bind("127.0.0.1:0").expect("an address");
+    stranger.send_to(&frame("tests", 1).finish(), peers[0]).expect("sent");
+    within("a stranger", || figure("strangers") == 1);
+    assert_eq!(figure("alive"), 1, "nobody was believed");
+    // A ping among records that nobody knows is answered by no more than came.
+    let mut known = frame("tests", 1);
+    assert!(known.push(200, b"of the future"));
+    let mut ping = vec![0xff; 40];
+    ping[..11].copy_from_slice(&[1, 0x12, 0x34, 0, 0, 0, 0, 0, 0, 0, 1]);
+    ping[11..17].copy_from_slice(&1_700_000_000_000u64.to_be_bytes()[2..]);
+    assert!(known.push(VIEW, &ping));
+    let bytes = known.finish();
+    send(&bytes);
+    let mut buffer = [0; 300];
+    let answered = std::iter::repeat_with(|| {
+        let (n, _) = peer.recv_from(&mut buffer).expect("a datagram");
+        let frame = Frame::parse(&buffer[..n]).expect("a frame");
+        let ack = frame.records().any(|(_, content)| content.starts_with(&[2, 0x12, 0x34]));
+        ack.then_some(n)
+    });
+    let length = answered.take(1_000).flatten().next().expect("an answer");
+    assert!(length <= bytes.len(), "{length} bytes for {}", bytes.len());
+    within("it is known now", || figure("alive") == 2);
+}
+
+#[test]
+fn where_nothing_may_be_told_nothing_is() {
+    let product = Product::new("off");
+    let agent = Agent::start(hosts(&[Server::named("a")]));
+    let mut config = peered(&agent, 0, &[free(), free()]);
+    config["settings"]["limits"]["mayTell"] = json!(false);
+    let sidecar = product.start(&config);
+    let metrics = String::from_utf8(sidecar.operate("GET /v1/metrics").body).expect("text");
+    assert!(
+        metrics.contains("sidecar.forwards") && !metrics.contains("sidecar.fleet."),
+        "{metrics}"
+    );
+}
--- a/crates/plankvale/tests/sidecar/main.rs
+++ b/crates/plankvale/tests/sidecar/main.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod clients;
 mod early;
+mod fleet;
 mod framing;
 mod large;
 mod membership;
