Send less where the budget between sidecars is short, and mend nothing meanwhile

Seen: 300 daemons with a view did not agree within 40 s of a crash, and sent 1,533 bytes a second each without end, at a budget of 1,500. On the virtual clock, which had no budget, the same fleet agreed after 12 s. Cause: messages waited in the channel's queue (64 of 256 bytes are 11 s), so that probes and answers came late and made suspects, whose refutations were more to say (fleet.rs, pump: every message was offered whatever the budget). Change: the view is told when less than a third of the burst is left; then only probes and answers go out, with two facts at most. The virtual clock has the budget, too.

--- a/crates/millethook-engine/src/fleet.rs
+++ b/crates/millethook-engine/src/fleet.rs
@@ -153,6 +153,7 @@
     fn pump(&self) -> Micros {
         let now = self.now();
         let (mut view, mut channel) = (self.view.borrow_mut(), self.channel.borrow_mut());
+        view.set_congested(channel.is_short(now));
         if view.poll_timeout() <= now {
             view.tick(now);
         }
--- a/crates/millethook-frames/src/channel.rs
+++ b/crates/millethook-frames/src/channel.rs
@@ -106,6 +106,13 @@
         true
     }
 
+    /// Whether less than a third of the burst is left, or something waits: who has something to say that can wait
+    /// or be left out does so.
+    pub fn is_short(&mut self, now: Micros) -> bool {
+        self.count(now);
+        self.left < self.burst / 3.0 || self.queues.iter().any(|q| !q.waiting.is_empty())
+    }
+
     fn count(&mut self, now: Micros) {
         let passed = now.saturating_sub(self.counted) as f64 / 1e6;
         self.counted = self.counted.max(now);
--- a/crates/millethook-view/examples/scale.rs
+++ b/crates/millethook-view/examples/scale.rs
@@ -39,7 +39,8 @@
     sim.keeps_events = false;
     (0..size).for_each(|n| sim.start(n));
     let started = sim.run_until(1_200 * S, Sim::agree);
-    sim.run(30 * S);
+    // News is told for a while after all have it, the longer the more there is.
+    sim.run(30 * S + u64::from(size) * S / 5);
     sim.nodes.iter_mut().for_each(|n| n.bytes = 0);
     sim.run(20 * S);
     let all: u64 = sim.nodes.iter().map(|n| n.bytes).sum();
--- a/crates/millethook-view/src/view.rs
+++ b/crates/millethook-view/src/view.rs
@@ -61,6 +61,8 @@
 const STALLED: u32 = 2;
 /// Members that probe a suspect as soon as they hear of it, in the mean.
 const WITNESSES: usize = 4;
+/// Facts in a message while the budget is short.
+const SHORT: usize = 2;
 /// Others that are asked to ask.
 const HELPERS: usize = 3;
 /// A probe waits for this part of the period before others are asked.
@@ -115,6 +117,7 @@
     bump_at: Micros,
     bump_wait: Micros,
     wanted_epoch: Epoch,
+    congested: bool,
     out: VecDeque<(u16, Vec<u8>)>,
     events: VecDeque<Event>,
     figures: Figures,
@@ -154,6 +157,7 @@
             bump_at: now,
             bump_wait: period,
             wanted_epoch: 0,
+            congested: false,
             out: VecDeque::new(),
             events: VecDeque::new(),
             figures: Figures::default(),
@@ -193,6 +197,12 @@
         self.figures
     }
 
+    /// Whether the budget is short. While it is, nothing goes out but probes and answers, and these short. Danger:
+    /// what waits for a budget makes probes late, late probes make suspects, and those make more to say.
+    pub fn set_congested(&mut self, congested: bool) {
+        self.congested = congested;
+    }
+
     /// The next change, in order. Of more than 1,024 that nobody fetched the oldest are lost.
     pub fn poll_event(&mut self) -> Option<Event> {
         self.events.pop_front()
@@ -257,7 +267,9 @@
         }
         if self.next_gossip <= now && !self.news.is_empty() {
             self.next_gossip = now + self.config.period / GOSSIP;
-            self.gossip();
+            if !self.congested {
+                self.gossip();
+            }
         }
         if self.pull.is_some_and(|p| p.next <= now) {
             self.ask_for_the_table(now);
@@ -375,6 +387,9 @@
         // An answer moves it on at once; without one another member is asked, later and later.
         pull.wait = (pull.wait * 2).min(SLOWEST_PULL * self.config.period);
         pull.next = now + pull.wait;
+        if self.congested {
+            return;
+        }
         let cursor = pull.cursor;
         let me = self.config.me;
         let present = |n: u16, s: Status| s.is_present() && n != me;
@@ -398,6 +413,8 @@
             return;
         }
         let incarnation = self.table.get(self.config.me).map_or(0, |m| m.incarnation);
+        let longest = if self.congested { longest.min(BASE + SHORT * FACT) } else { longest };
+        let fill = fill && !self.congested;
         let epoch = self.config.epoch;
         let head = Head { what, seq, hash: self.table.hash, incarnation, about, epoch };
         let mut bytes = head.write();
--- a/crates/millethook-view/tests/common/mod.rs
+++ b/crates/millethook-view/tests/common/mod.rs
@@ -32,6 +32,23 @@
     pub bytes: u64,
     pub datagrams: u64,
     ticking: Option<Micros>,
+    /// Bytes of the budget that are left, and when they were counted.
+    left: (f64, Micros),
+}
+
+/// The budget of one process in bytes a second, and what it may save up, as the daemon has them.
+const RATE: f64 = 1_500.0;
+const BURST: f64 = 3_000.0;
+
+impl Node {
+    /// Tells the view whether the budget is short, as the channel does.
+    fn budget(&mut self, now: Micros) {
+        let passed = now.saturating_sub(self.left.1) as f64 / S as f64;
+        self.left = ((self.left.0 + passed * RATE).min(BURST), now);
+        if let Some(view) = &mut self.view {
+            view.set_congested(self.left.0 < BURST / 3.0);
+        }
+    }
 }
 
 pub struct Sim {
@@ -61,6 +78,7 @@
             bytes: 0,
             datagrams: 0,
             ticking: None,
+            left: (BURST, 0),
         };
         Sim {
             now: S,
@@ -151,6 +169,7 @@
         if sooner {
             node.ticking = Some(at);
         }
+        node.left.0 -= out.iter().map(|(_, c)| c.len() as f64 + OVERHEAD as f64).sum::<f64>();
         node.bytes += out.iter().map(|(_, c)| c.len() as u64 + OVERHEAD).sum::<u64>();
         node.datagrams += out.len() as u64;
         if sooner {
@@ -182,6 +201,7 @@
                     node.inbox.push((from, epoch, content));
                     return true;
                 }
+                node.budget(now);
                 let Some(view) = &mut node.view else { return true };
                 view.handle(now, from, epoch, &content).expect("a message");
                 self.after(to);
@@ -195,6 +215,7 @@
                 if node.ticking.is_some_and(|t| t <= now) {
                     node.ticking = None;
                 }
+                node.budget(now);
                 let Some(view) = &mut node.view else { return true };
                 if view.poll_timeout() <= now {
                     view.tick(now);
