--- a/crates/millethook-lab/src/timeline/mod.rs
+++ b/crates/millethook-lab/src/timeline/mod.rs
@@ -9,7 +9,8 @@
 use serde::Deserialize;
 
 pub use event::{Event, EventKind, Select};
-pub use read::{Fault, FileError};
+/// One thing that is wrong with a file, and why there is no timeline: as of the product's file.
+pub use millethook_config::{Error as FileError, Fault};
 
 /// A whole file. `docs/lab.md` is the reference of its keys.
 #[derive(Clone, Debug, Default)]
--- a/crates/millethook-lab/src/timeline/read.rs
+++ b/crates/millethook-lab/src/timeline/read.rs
@@ -1,60 +1,12 @@
 //! Reads a timeline. All that is wrong is told at once, each with its line, its key and what was expected.
 
-use std::fmt;
 use std::ops::Range;
-use std::path::{Path, PathBuf};
 
 use serde::de::{DeserializeOwned, IntoDeserializer};
 use toml::Spanned;
 use toml::de::{DeTable, DeValue};
 
-use super::{Event, Timeline, check};
-
-/// One thing that is wrong with a file.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Fault {
-    /// Its line, from 1.
-    pub line: usize,
-    /// The key, with its section.
-    pub key: String,
-    /// What is wrong, or was expected.
-    pub text: String,
-}
-
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self.key.is_empty() {
-            true => write!(f, "line {}: {}", self.line, self.text),
-            false => write!(f, "line {}: {}: {}", self.line, self.key, self.text),
-        }
-    }
-}
-
-/// Why there is no timeline.
-#[derive(Debug, thiserror::Error)]
-pub enum FileError {
-    /// The file cannot be read.
-    #[error("{path}: {cause}")]
-    Io {
-        /// Which file.
-        path: PathBuf,
-        /// What the system said.
-        cause: std::io::Error,
-    },
-    /// All that is wrong with it.
-    #[error("{}", lines(.path, .faults))]
-    Faults {
-        /// Which file.
-        path: PathBuf,
-        /// At least one, by line.
-        faults: Vec<Fault>,
-    },
-}
-
-fn lines(path: &Path, faults: &[Fault]) -> String {
-    let lines: Vec<String> = faults.iter().map(|f| format!("{}: {f}", path.display())).collect();
-    lines.join("\n")
-}
+use super::{Event, Fault, Timeline, check};
 
 /// A section with the places of its keys, for faults found once it is read.
 pub(super) struct Places {
