Lab: handshakes by sidecar and each server's load over time in a run's folder

The issue asks for connections by process and the load of each server against the others; both were in the book and in no file. An attempt knows whether it was the first on its connection.

--- a/crates/millethook-lab/src/ledger/mod.rs
+++ b/crates/millethook-lab/src/ledger/mod.rs
@@ -152,6 +152,8 @@
     pub arrived: Micros,
     /// The work that it is, in microseconds of a warm server.
     pub work: Micros,
+    /// It is the first on its connection: its sidecar made a handshake for it.
+    pub fresh: bool,
     /// When it had its effect, if it did.
     pub ran: Option<Micros>,
     /// What became of it,
--- a/crates/millethook-lab/src/report.rs
+++ b/crates/millethook-lab/src/report.rs
@@ -71,10 +71,26 @@
             (p.at, name, p.usage.cpu_s, p.usage.memory_kib, p.usage.descriptors)
         }),
     )?;
+    let mut handshakes = vec![0u64; outcome.traffic.len()];
+    for attempt in outcome.book.attempts.iter().filter(|a| a.fresh) {
+        handshakes[attempt.id.sidecar()] += 1;
+    }
     csv_of(
-        &folder.join("datagrams.csv"),
-        outcome.traffic.iter().enumerate().map(|(n, t)| (format!("n{n}"), t.0, t.1, t.2)),
+        &folder.join("traffic.csv"),
+        outcome
+            .traffic
+            .iter()
+            .zip(handshakes)
+            .enumerate()
+            .map(|(n, (t, handshakes))| (format!("n{n}"), handshakes, t.0, t.1, t.2)),
     )?;
+    let servers = outcome.servers.iter().flat_map(|sample| {
+        let load = sample.load.iter().enumerate();
+        load.filter_map(|(place, load)| {
+            load.map(|(taken, waiting)| (sample.at, place, taken, waiting))
+        })
+    });
+    csv_of(&folder.join("servers.csv"), servers)?;
     csv_of(
         &folder.join("windows.csv"),
         figures
--- a/crates/millethook-lab/src/world/server.rs
+++ b/crates/millethook-lab/src/world/server.rs
@@ -275,8 +275,9 @@
 
     /// Serves a connection to its end.
     async fn talk(self: &Arc<Server>, class: usize, wire: &mut Wire) -> io::Result<()> {
+        let mut fresh = true;
         while let Some(request) = wire.request().await? {
-            let reply = self.serve(wire, &request).await;
+            let reply = self.serve(wire, &request, std::mem::take(&mut fresh)).await;
             let Some(reply) = reply else { return Ok(()) };
             let reply = match reply {
                 Reply::Whole(reply) => reply,
@@ -300,7 +301,12 @@
     }
 
     /// What is answered; None: the connection ends without an answer.
-    async fn serve(self: &Arc<Server>, wire: &mut Wire, request: &Message) -> Option<Reply> {
+    async fn serve(
+        self: &Arc<Server>,
+        wire: &mut Wire,
+        request: &Message,
+        fresh: bool,
+    ) -> Option<Reply> {
         if request.target.starts_with("/health/") {
             return Some(Reply::Whole(answer("200 OK", "", "")));
         }
@@ -323,6 +329,7 @@
             first_byte: stage.clock.of(request.first_byte),
             arrived,
             work: arrival.work,
+            fresh,
             ran: None,
             fate: Fate::Open,
             ended: arrived,
--- a/crates/millethook-lab/tests/figures.rs
+++ b/crates/millethook-lab/tests/figures.rs
@@ -72,13 +72,14 @@
         let id = self.book.requests[0].id;
         let ran = (!matches!(fate, Fate::TurnedAway)).then_some(at);
         let ended = at + 10_000;
-        let (first_byte, arrived, work) = (at, at, 1_000);
+        let (first_byte, arrived, work, fresh) = (at, at, 1_000, false);
         self.book.attempts.push(Attempt {
             id,
             server,
             first_byte,
             arrived,
             work,
+            fresh,
             ran,
             fate,
             ended,
