View: the absent are asked in proportion, so that no peer is asked by all

Seen on the virtual clock at 5,000 members: one that returned sent 33 KB in 5 s and learned nothing for 20 s. A trace of its messages showed acks to thousands of pings: each member asked the one dead member every second period (view.rs, ask_the_absent). Now all together ask each absent member some four times a period; a process still asks one at most. Tried in vain: fewer tellings, faster gossip, answering comparisons without budget.

--- a/crates/millethook-view/src/view.rs
+++ b/crates/millethook-view/src/view.rs
@@ -73,8 +73,10 @@
 const DIRECT: (u64, u64) = (3, 10);
 /// While there is news it goes to one more member so many times a period.
 const GOSSIP: u64 = 5;
-/// A dead or unknown member is asked each so many periods.
-const ASK: u64 = 2;
+/// A process asks a dead or unknown member each so many periods at most, and all together ask each of them so often a
+/// period.
+const ASK: u64 = 1;
+const ASKED: usize = 4;
 /// A newcomer asks for the table after this part of a period, and after each failure half as often, to once in two;
 /// after an answer it asks another member for the next piece after [`GOSSIP`]'s part.
 const PULL: u64 = 20;
@@ -381,8 +383,11 @@
     fn ask_the_absent(&mut self) {
         let me = self.config.me;
         let absent = |n: u16, s: Status| matches!(s, Status::Dead | Status::Unknown) && n != me;
-        let nobody = self.table.counts.dead + self.table.counts.unknown == 0;
-        if nobody || mutant::is(Mutant::DeadAreForgotten) {
+        let Counts { unknown, alive, suspect, dead, .. } = self.table.counts;
+        // Danger: where all ask, one that returns to a large fleet spends its whole budget on answers.
+        let asked = (dead + unknown) * ASKED * ASK as usize;
+        let mine = below(&mut self.random, alive + suspect) < asked;
+        if !mine || mutant::is(Mutant::DeadAreForgotten) {
             return;
         }
         if let Some(number) = pick(&self.table, &mut self.random, absent) {
--- a/crates/millethook-view/src/view/repair.rs
+++ b/crates/millethook-view/src/view/repair.rs
@@ -177,7 +177,7 @@
 /// So many messages in a row with the same hash: the news is everywhere.
 const EQUAL: u32 = 4;
 /// Views are compared if they differ for this part of a period.
-const PATIENCE: u64 = 2;
+const PATIENCE: u64 = 5;
 
 /// Ranges of `width` members each, from `first` on; or one of them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/millethook-view/tests/fleet.rs
+++ b/crates/millethook-view/tests/fleet.rs
@@ -70,6 +70,20 @@
     assert_eq!(sim.called_dead(|_| true), 0);
 }
 
+#[test]
+fn one_dead_member_is_asked_rarely_by_all_together_and_for_ever() {
+    let mut sim = Sim::settled(100, 1);
+    sim.kill(7);
+    assert!(sim.run_until(60 * S, Sim::agree).is_some());
+    sim.run(20 * S);
+    let sent = |sim: &Sim| sim.nodes.iter().map(|n| n.datagrams).sum::<u64>();
+    let before = sent(&sim);
+    sim.run(100 * PERIOD);
+    // A ping and its answer in a period of each of the 99, and what asks the dead one.
+    let asked = sent(&sim) - before - 99 * 200;
+    assert!((200..800).contains(&asked), "{asked} in 100 periods");
+}
+
 #[test]
 fn one_that_leaves_is_gone_at_once_and_for_good() {
     for seed in 0..SEEDS {
