Sidecars tell one another what they meet at servers, where [fleet] share_evidence asks for it

Need: each sidecar finds a dead server alone, and hears of a drain by its own list only.

The engine joins millethook-replica to its driver: attempts' ends and unanswered attempts go in, what two of a zone have met since anyone was answered comes out as Event::Stands. Off by default. The lab has share_evidence, evidence_agrees_within_s and two timelines.

--- a/crates/coppercart/src/api.rs
+++ b/crates/coppercart/src/api.rs
@@ -132,6 +132,23 @@
         from: u32,
         data: &'a [u8],
     },
+    /// What the sidecars of the fleet together make of a server has changed, where they share that.
+    Stands {
+        server: ServerId,
+        standing: Standing,
+    },
+}
+
+/// What several sidecars say of a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Standing {
+    /// Nothing.
+    #[default]
+    Trusted,
+    /// Several had no answer since anyone had one.
+    Doubted,
+    /// Discovery has told one of them that it goes.
+    Leaving,
 }
 
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/coppercart/src/decide/mod.rs
+++ b/crates/coppercart/src/decide/mod.rs
@@ -13,9 +13,10 @@
 use crate::api::*;
 use crate::average::Average;
 use crate::draws::Draws;
+use crate::lateness::Lateness;
 use crate::settings::*;
-use shedding::Lateness;
 
+mod hearsay;
 mod learning;
 mod picking;
 mod requests;
@@ -79,6 +80,8 @@
     average: Average,
     /// It is of this sidecar's subset.
     kept: bool,
+    /// It drains by others' word alone.
+    leaves: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -239,6 +242,7 @@
             }
             Event::ClientGone { id } => self.call_off(id, out),
             Event::Timer { token } => self.timer(token, out),
+            Event::Stands { server, standing } => self.stands(server, standing),
             Event::Probed { .. } | Event::Note { .. } => {}
         }
     }
--- a/crates/coppercart/src/decide/servers.rs
+++ b/crates/coppercart/src/decide/servers.rs
@@ -83,7 +83,7 @@
             *s = Server::new(e);
             s.in_flight = in_flight;
         }
-        (s.zone, s.cell, s.health, s.power) = (e.zone, e.cell, e.health, power);
+        (s.zone, s.cell, s.health, s.power, s.leaves) = (e.zone, e.cell, e.health, power, false);
         if s.health == Health::Gone && s.in_flight == 0 {
             *free = slot.min(*free);
         }
--- a/crates/coppercart/src/decide/shedding.rs
+++ b/crates/coppercart/src/decide/shedding.rs
@@ -8,49 +8,9 @@
 const SHED_SPREAD: f64 = 0.15;
 pub(super) const SHED_FROM: f64 = 0.06;
 const SHED_BAND: f64 = 0.1;
-/// Servers whose lateness is kept in view: enough that a third of them is no chance.
-const SIGHTS: usize = 16;
-/// Servers in time that are taken for granted beside those in view.
-const DOUBT: f64 = 1.5;
 /// A lateness that no answer renews fades over this many of the longest aims.
 const LATENESS_FADES: f64 = 4.0;
 
-/// How late each server's last answers were, and what this says of the fleet.
-#[derive(Debug, Default)]
-pub(super) struct Lateness {
-    sights: SmallVec<[(Slot, f64, Micros); SIGHTS]>,
-    level: f64,
-    since: Micros,
-}
-
-impl Lateness {
-    fn at(&self, now: Micros, fades: f64) -> f64 {
-        self.level * (-(now.saturating_sub(self.since) as f64) / fades).exp()
-    }
-
-    /// Danger: a few sick servers are no overload, and shedding for them refuses what the others
-    /// could serve. Each server counts once, and the latest third does not count.
-    fn feel(&mut self, now: Micros, memory: Micros, slot: Slot, late: f64) {
-        self.sights.retain(|&mut (_, _, t)| now - t < 3 * memory);
-        let known = self.sights.iter().position(|s| s.0 == slot);
-        let oldest = (0..self.sights.len()).min_by_key(|&i| self.sights[i].2);
-        match (known, oldest) {
-            (Some(i), _) => self.sights[i] = (slot, 0.5 * (self.sights[i].1 + late), now),
-            (None, Some(i)) if self.sights.len() == SIGHTS => self.sights[i] = (slot, late, now),
-            _ => self.sights.push((slot, late, now)),
-        }
-        let fresh = |s: &(Slot, f64, Micros)| (-((now - s.2) as f64) / memory as f64).exp();
-        let mut seen: SmallVec<[(f64, f64); SIGHTS]> =
-            self.sights.iter().map(|s| (s.1, fresh(s))).collect();
-        seen.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
-        seen.truncate(seen.len() - seen.len() / 3);
-        // Danger: at a quiet sidecar one late answer of two is no news of the fleet.
-        let weight: f64 = seen.iter().map(|s| s.1).sum::<f64>() + DOUBT;
-        self.level = seen.iter().map(|s| s.0 * s.1).sum::<f64>() / weight;
-        self.since = now;
-    }
-}
-
 impl Balancer {
     /// How much a unit of a class's work is worth.
     fn density(&self, class: usize) -> f64 {
--- /dev/null
+++ b/crates/coppercart/src/lateness.rs
@@ -0,0 +1,65 @@
+//! How late the answers of several servers are, as one figure.
+
+use smallvec::SmallVec;
+
+use crate::api::Micros;
+
+/// Servers whose lateness is kept in view: enough that a third of them is no chance.
+const SIGHTS: usize = 16;
+/// Servers in time that are taken for granted beside those in view.
+const DOUBT: f64 = 1.5;
+
+/// How late each server's last answers were, and what this says of the fleet.
+#[derive(Debug, Default)]
+pub(crate) struct Lateness {
+    sights: SmallVec<[(usize, f64, Micros); SIGHTS]>,
+    level: f64,
+    since: Micros,
+}
+
+impl Lateness {
+    /// The level, faded since it was last felt.
+    pub(crate) fn at(&self, now: Micros, fades: f64) -> f64 {
+        self.level * (-(now.saturating_sub(self.since) as f64) / fades).exp()
+    }
+
+    /// Danger: a few sick servers are no overload, and shedding for them refuses what the others
+    /// could serve. Each server counts once, and the latest third does not count.
+    pub(crate) fn feel(&mut self, now: Micros, memory: Micros, slot: usize, late: f64) {
+        self.sights.retain(|&mut (_, _, t)| now - t < 3 * memory);
+        let known = self.sights.iter().position(|s| s.0 == slot);
+        let oldest = (0..self.sights.len()).min_by_key(|&i| self.sights[i].2);
+        match (known, oldest) {
+            (Some(i), _) => self.sights[i] = (slot, 0.5 * (self.sights[i].1 + late), now),
+            (None, Some(i)) if self.sights.len() == SIGHTS => self.sights[i] = (slot, late, now),
+            _ => self.sights.push((slot, late, now)),
+        }
+        let fresh = |s: &(usize, f64, Micros)| (-((now - s.2) as f64) / memory as f64).exp();
+        let mut seen: SmallVec<[(f64, f64); SIGHTS]> =
+            self.sights.iter().map(|s| (s.1, fresh(s))).collect();
+        seen.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
+        seen.truncate(seen.len() - seen.len() / 3);
+        // Danger: at a quiet sidecar one late answer of two is no news of the fleet.
+        let weight: f64 = seen.iter().map(|s| s.1).sum::<f64>() + DOUBT;
+        self.level = seen.iter().map(|s| s.0 * s.1).sum::<f64>() / weight;
+        self.since = now;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_latest_third_does_not_count_and_what_is_felt_fades() {
+        let mut lateness = Lateness::default();
+        for slot in 0..9 {
+            lateness.feel(1_000, 100, slot, if slot < 3 { 1.0 } else { 0.0 });
+        }
+        assert_eq!(lateness.at(1_000, 10.0), 0.0, "a few sick servers are no overload");
+        (0..9).for_each(|slot| lateness.feel(1_000, 100, slot, 1.0));
+        let level = lateness.at(1_000, 10.0);
+        assert!(level > 0.3, "{level}");
+        assert!(lateness.at(1_020, 10.0) < 0.2 * level);
+    }
+}
--- a/crates/coppercart/src/lib.rs
+++ b/crates/coppercart/src/lib.rs
@@ -8,5 +8,6 @@
 mod average;
 pub mod decide;
 mod draws;
+mod lateness;
 pub mod settings;
 pub mod wire;
--- a/crates/coppercart/tests/decide.rs
+++ b/crates/coppercart/tests/decide.rs
@@ -145,6 +145,37 @@
     assert!(lost <= 6, "{lost} of 400 went to a hung server");
 }
 
+/// What the fleet says of a server counts until somebody is answered there, and never empties the list.
+#[test]
+fn what_others_say_takes_a_server_away_and_no_more() {
+    let servers: Vec<_> = [0, 2, 4, 6].map(server).to_vec();
+    let of = |b: &mut Bench| (0..60).filter(|_| b.round(0, 0.0) == Some(ServerId(0))).count();
+    let stands = |b: &mut Bench, n, standing| {
+        b.event(Event::Stands { server: ServerId(n), standing });
+    };
+    let mut b = Bench::new(settings(|_| {}), 5, &servers);
+    stands(&mut b, 0, Standing::Leaving);
+    assert_eq!(of(&mut b), 0, "its drain was heard before the list says so");
+    stands(&mut b, 0, Standing::Trusted);
+    assert!(of(&mut b) > 0, "the list never said so");
+    b.servers(ListKind::Changes, &[with_health(0, Health::Draining)]);
+    stands(&mut b, 0, Standing::Trusted);
+    assert_eq!(of(&mut b), 0, "others add nothing that the own list has not named");
+    // Nobody was answered there for long, as far as this one knows.
+    let mut b = Bench::new(settings(|_| {}), 5, &servers);
+    stands(&mut b, 0, Standing::Doubted);
+    let (id, _) = b.request(0);
+    b.event(Event::ClientGone { id });
+    assert!((0..5).all(|_| b.round(0, 0.0) != Some(ServerId(0))));
+    // One that lies of all servers.
+    let mut b = Bench::new(settings(|_| {}), 5, &servers);
+    for n in [0, 2, 4, 6] {
+        stands(&mut b, n, Standing::Doubted);
+        stands(&mut b, n, Standing::Leaving);
+    }
+    assert!((0..60).all(|_| b.round(0, 0.0).is_some()));
+}
+
 /// Found on a quiet stretch: an attempt called off left its server marked silent for ever, and
 /// sidecar after sidecar ran out of servers.
 #[test]
--- a/crates/coppercart/tests/rules.rs
+++ b/crates/coppercart/tests/rules.rs
@@ -24,6 +24,7 @@
     Whole { mask: u8 },
     Gone { which: usize },
     Failed,
+    Stands { server: u64, standing: Standing },
 }
 
 #[derive(Debug)]
@@ -256,6 +257,10 @@
                     self.event(Event::ClientGone { id });
                 }
             }
+            Step::Stands { server: s, standing } => {
+                let server = ServerId(s);
+                self.event(Event::Stands { server, standing });
+            }
             Step::Failed => self.event(Event::Servers { kind: ListKind::Failed, entries: &[] }),
         }
     }
@@ -273,6 +278,10 @@
         1 => any::<u8>().prop_map(|mask| Step::Whole { mask }),
         1 => (0..4usize).prop_map(|which| Step::Gone { which }),
         1 => Just(Step::Failed),
+        2 => (0..6u64, 0..3u8).prop_map(|(server, standing)| Step::Stands {
+            server,
+            standing: [Standing::Trusted, Standing::Doubted, Standing::Leaving][usize::from(standing)],
+        }),
     ]
 }
 
--- a/crates/millethook-config/src/lib.rs
+++ b/crates/millethook-config/src/lib.rs
@@ -125,6 +125,8 @@
     pub period: Duration,
     /// Bytes a second that one process may send to others.
     pub bytes_per_second: u32,
+    /// Whether sidecars tell one another what they meet at servers, and which servers go.
+    pub share_evidence: bool,
 }
 
 /// One thing that is wrong with a file.
@@ -250,6 +252,7 @@
                 period: Duration::from_secs_f64(period),
                 bytes_per_second: r.count("bytes_per_second", 256..=1_000_000).unwrap_or(1_500)
                     as u32,
+                share_evidence: r.flag("share_evidence").unwrap_or(false),
             });
         });
         if let Some(m) = product.membership.as_ref().filter(|m| m.dropped_below > m.usable_above) {
--- a/crates/millethook-config/tests/file.rs
+++ b/crates/millethook-config/tests/file.rs
@@ -33,7 +33,12 @@
     assert_eq!(product.log.format, LogFormat::Text);
     let empty = Product::from_toml("[fleet]\n").expect("sound").fleet;
     let second = std::time::Duration::from_secs(1);
-    let usual = Fleet { name: "millethook".into(), period: second, bytes_per_second: 1_500 };
+    let usual = Fleet {
+        name: "millethook".into(),
+        period: second,
+        bytes_per_second: 1_500,
+        share_evidence: false,
+    };
     assert_eq!((&product.fleet, &empty), (&Some(usual), &product.fleet));
 }
 
--- a/crates/millethook-engine/src/driver/attempts.rs
+++ b/crates/millethook-engine/src/driver/attempts.rs
@@ -40,6 +40,9 @@
             return self.moot(id, n, server);
         };
         let wait = Duration::from_micros(wait);
+        if let Some(fleet) = self.fleet.get() {
+            fleet.sends_to(server);
+        }
         spawn_local(self.clone().attempt(id, n, (server, dial), spec, wait, cancelled));
     }
 
@@ -202,6 +205,9 @@
             }
         }
         self.event(Event::Answer { id, attempt, server, outcome, latency, finished, report });
+        if let Some(fleet) = self.fleet.get() {
+            fleet.saw(server, outcome, latency);
+        }
         self.forget(id);
     }
 }
--- a/crates/millethook-engine/src/driver/membership.rs
+++ b/crates/millethook-engine/src/driver/membership.rs
@@ -1,13 +1,14 @@
 //! Lists of servers on their way to the decisions, and where each server is.
 
 use std::collections::HashSet;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 
-use coppercart::api::{Event, ListKind, ServerId};
+use coppercart::api::{Event, ListKind, ServerId, Standing};
 
 use super::Driver;
+use crate::fleet::Fleet;
 use crate::list::{Host, List};
-use crate::news::MembershipSink;
+use crate::news::{MembershipSink, StandingSink};
 
 impl MembershipSink for Rc<Driver> {
     fn servers(&self, kind: ListKind, list: &List) {
@@ -23,7 +24,25 @@
     }
 }
 
+/// The driver, as the fleet's words reach it.
+struct Hearer(Weak<Driver>);
+
+impl StandingSink for Hearer {
+    fn stands(&self, server: ServerId, standing: Standing) {
+        if let Some(driver) = self.0.upgrade() {
+            driver.event(Event::Stands { server, standing });
+        }
+    }
+}
+
 impl Driver {
+    /// What is met at servers goes to the fleet from now on, and what it makes of them to the decisions.
+    pub fn shares_with(self: &Rc<Driver>, fleet: &Rc<Fleet>) {
+        // It is set once, as the engine starts.
+        let _ = self.fleet.set(fleet.clone());
+        fleet.tell_standings_to(Box::new(Hearer(Rc::downgrade(self))));
+    }
+
     /// A list of servers, or what changed in it.
     pub fn servers(self: &Rc<Driver>, kind: ListKind, list: &List) {
         {
@@ -31,13 +50,18 @@
             if kind != ListKind::Changes {
                 // What a whole list lacks is gone.
                 let listed: HashSet<ServerId> = list.hosts.iter().map(Host::id).collect();
+                let mut lacking = Vec::new();
                 core.servers.retain(|id, _| {
                     let kept = listed.contains(id);
                     if !kept {
                         self.upstream.close_idle(*id, true);
+                        lacking.push(*id);
                     }
                     kept
                 });
+                if let Some(fleet) = self.fleet.get() {
+                    fleet.unlisted(&lacking);
+                }
             }
             for host in &list.hosts {
                 let id = host.id();
@@ -60,6 +84,12 @@
         }
         let entries: Vec<_> = list.hosts.iter().map(|h| self.names.entry(h)).collect();
         self.event(Event::Servers { kind, entries: &entries });
+        if let Some(fleet) = self.fleet.get() {
+            // Danger: an old list that names a server anew would bring it back.
+            for (server, standing) in fleet.listed(&entries) {
+                self.event(Event::Stands { server, standing });
+            }
+        }
     }
 
     /// Whether any server was ever listed.
--- a/crates/millethook-engine/src/driver/mod.rs
+++ b/crates/millethook-engine/src/driver/mod.rs
@@ -7,7 +7,7 @@
 mod request;
 mod timers;
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -26,6 +26,7 @@
 
 use crate::discovery::Call;
 use crate::figures::{Disposition, Figures};
+use crate::fleet::Fleet;
 use crate::names::Names;
 use crate::news::PeerSender;
 use crate::upstream::{AttemptRequest, Calls, Upstream};
@@ -55,6 +56,8 @@
     upstream: Rc<Upstream>,
     discovery: mpsc::UnboundedSender<Call>,
     peers: Option<Rc<dyn PeerSender>>,
+    /// The other sidecars, where evidence is shared with them.
+    fleet: OnceCell<Rc<Fleet>>,
     probe_reports: bool,
     /// Room for actions, kept between events.
     actions: Cell<Vec<Action>>,
@@ -109,6 +112,7 @@
             upstream,
             discovery,
             peers,
+            fleet: OnceCell::new(),
             probe_reports,
             actions: Cell::default(),
             timers: Timers::default(),
--- a/crates/millethook-engine/src/engine.rs
+++ b/crates/millethook-engine/src/engine.rs
@@ -107,7 +107,9 @@
                 return None;
             }
             let sender = peers.clone()?;
-            Some(Fleet::start(&of, (config.settings.me, members), config.seed, sender))
+            let (me, zone) = (config.settings.me, config.settings.zone);
+            let silence = config.settings.longest(|c| c.aim);
+            Some(Fleet::start(&of, (me, members), (zone, silence), config.seed, sender))
         });
         let names = config.names;
         let limits = &config.settings.limits;
@@ -138,6 +140,9 @@
             teller,
             figures.clone(),
         );
+        if let Some(fleet) = &fleet {
+            driver.shares_with(fleet);
+        }
         let version = config.known.as_ref().map_or(0, |known| known.seq);
         let keeper = config.keeper.map(|(fleet, keeper)| {
             let (driver, known) = (driver.clone(), config.known.as_ref());
--- a/crates/millethook-engine/src/fleet.rs
+++ b/crates/millethook-engine/src/fleet.rs
@@ -5,17 +5,22 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use coppercart::api::{Outcome, ServerEntry, ServerId, Standing};
 use coppercart::settings::Settings;
 use millethook_frames::{Channel, ChannelConfig, Frame, Header, Kind, channel, fleet_id};
+use millethook_replica::ReplicaConfig;
 use millethook_view::{Counts, Event, Micros, Status, View, ViewConfig};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::sleep_until;
 
-use crate::news::PeerSender;
+use crate::evidence::Evidence;
+use crate::news::{PeerSender, StandingSink};
 
 /// The number of the view's messages in frames.
 const VIEW: Kind = Kind { number: 1, weight: 4 };
+/// The number of what is told of servers.
+const EVIDENCE: Kind = Kind { number: 2, weight: 2 };
 /// Bytes that may go out at once, in seconds of the budget.
 const BURST_S: u32 = 2;
 /// Log lines of changes: so many at once, and one more each second.
@@ -32,6 +37,8 @@
     pub period: Duration,
     /// Bytes a second that this process may send to others.
     pub bytes_per_second: u32,
+    /// Whether sidecars tell one another what they meet at servers, and which servers go.
+    pub share_evidence: bool,
 }
 
 /// What was not heard.
@@ -52,6 +59,7 @@
     started: Instant,
     view: RefCell<View>,
     channel: RefCell<Channel>,
+    evidence: Option<Evidence>,
     peers: Rc<dyn PeerSender>,
     wake: Notify,
     dropped: Cell<Dropped>,
@@ -76,6 +84,7 @@
     pub fn start(
         settings: &FleetSettings,
         (me, members): (u32, usize),
+        (zone, silence): (u8, Micros),
         seed: u64,
         peers: Rc<dyn PeerSender>,
     ) -> Rc<Fleet> {
@@ -91,13 +100,18 @@
         };
         let rate = settings.bytes_per_second;
         let burst = rate.saturating_mul(BURST_S);
-        let channel = ChannelConfig { rate, burst, kinds: vec![VIEW] };
+        let channel = ChannelConfig { rate, burst, kinds: vec![VIEW, EVIDENCE] };
+        let evidence = settings.share_evidence.then(|| {
+            let ViewConfig { me, members, epoch, period, .. } = config;
+            Evidence::new(ReplicaConfig { me, members, epoch, zone, period, silence, seed }, 0)
+        });
         let fleet = Rc::new(Fleet {
             name: settings.name.clone(),
             id: fleet_id(&settings.name),
             started,
             view: RefCell::new(View::new(config, 0)),
             channel: RefCell::new(Channel::new(&channel, 0)),
+            evidence,
             peers,
             wake: Notify::new(),
             dropped: Cell::default(),
@@ -121,9 +135,15 @@
             Ok(frame) => {
                 let (now, Header { from, epoch, .. }) = (self.now(), frame.header);
                 let mut view = self.view.borrow_mut();
-                for (_, content) in frame.records().filter(|r| r.0 == VIEW.number) {
-                    // What is malformed is counted by the view.
-                    let _ = view.handle(now, from, epoch, content);
+                for (kind, content) in frame.records() {
+                    match &self.evidence {
+                        // What is malformed is counted by the view.
+                        _ if kind == VIEW.number => drop(view.handle(now, from, epoch, content)),
+                        Some(evidence) if kind == EVIDENCE.number => {
+                            evidence.handle(now, from, content)
+                        }
+                        _ => {}
+                    }
                 }
                 drop(view);
                 self.wake.notify_one();
@@ -141,6 +161,9 @@
     async fn run(self: Rc<Fleet>) {
         loop {
             let next = self.pump();
+            if let Some(evidence) = &self.evidence {
+                evidence.tell();
+            }
             let next = self.started + Duration::from_micros(next);
             tokio::select! {
                 () = sleep_until(next.into()) => {}
@@ -153,24 +176,81 @@
     fn pump(&self) -> Micros {
         let now = self.now();
         let (mut view, mut channel) = (self.view.borrow_mut(), self.channel.borrow_mut());
-        view.set_congested(channel.is_short(now));
+        let short = channel.is_short(now);
+        view.set_congested(short);
         if view.poll_timeout() <= now {
             view.tick(now);
         }
         while let Some((to, content)) = view.poll_transmit() {
             channel.offer(to, VIEW.number, content);
         }
+        let mut joined = Vec::new();
+        while let Some(event) = view.poll_event() {
+            self.tell(&event, now);
+            if event.now == Status::Alive && event.before != Status::Suspect {
+                joined.push(event.number);
+            }
+        }
+        let mut next = view.poll_timeout();
+        if let Some(evidence) = &self.evidence {
+            joined.into_iter().for_each(|number| evidence.joined(now, number, &view));
+            let send = |to, content| {
+                // Its kind is one of the channel's.
+                let _ = channel.offer(to, EVIDENCE.number, content);
+            };
+            next = next.min(evidence.pump(now, &mut view, short, send));
+        }
         let header = Header { fleet: self.id, from: view.me(), epoch: view.epoch() };
         while let Some((to, bytes)) = channel.poll(now, header) {
             self.peers.tell(u32::from(to), &bytes);
         }
-        while let Some(event) = view.poll_event() {
-            self.tell(&event, now);
-        }
-        let next = view.poll_timeout();
         channel.poll_timeout().map_or(next, |at| next.min(at))
     }
 
+    /// Whoever is to hear what the fleet makes of servers.
+    pub fn tell_standings_to(&self, sink: Box<dyn StandingSink>) {
+        if let Some(evidence) = &self.evidence {
+            evidence.tell_to(sink);
+        }
+    }
+
+    /// An attempt goes out to a server.
+    pub fn sends_to(&self, server: ServerId) {
+        if let Some(evidence) = &self.evidence {
+            evidence.sent(self.now(), server);
+            self.wake.notify_one();
+        }
+    }
+
+    /// An attempt at a server has ended.
+    pub fn saw(&self, server: ServerId, outcome: Outcome, latency: Micros) {
+        if let Some(evidence) = &self.evidence {
+            evidence.saw(self.now(), server, outcome, latency);
+            self.wake.notify_one();
+        }
+    }
+
+    /// The own list of servers, or what changed in it, has been told to the decisions; what they should know beside it.
+    pub fn listed(&self, entries: &[ServerEntry]) -> Vec<(ServerId, Standing)> {
+        let Some(evidence) = &self.evidence else { return Vec::new() };
+        evidence.listed(self.now(), entries);
+        self.wake.notify_one();
+        let stands = entries.iter().map(|e| (e.id, evidence.standing(e.id)));
+        stands.filter(|(_, standing)| *standing != Standing::Trusted).collect()
+    }
+
+    /// The own list no longer names these. Nothing is said of it: a whole list may be an old one.
+    pub fn unlisted(&self, servers: &[ServerId]) {
+        if let Some(evidence) = &self.evidence {
+            evidence.unlisted(servers);
+        }
+    }
+
+    /// What is held of others' words, and its hash; None: nothing is shared.
+    pub fn evidence(&self) -> Option<(millethook_replica::Figures, u32)> {
+        self.evidence.as_ref().map(|e| (e.figures(), e.hash(self.now())))
+    }
+
     fn tell(&self, event: &Event, now: Micros) {
         let mut log = self.log.borrow_mut();
         let Some(held_back) = log.line(now) else { return };
--- a/crates/millethook-engine/src/lib.rs
+++ b/crates/millethook-engine/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod discovery;
 pub mod driver;
 mod engine;
+mod evidence;
 pub mod figures;
 pub mod fleet;
 pub mod keeper;
--- a/crates/millethook-engine/src/news.rs
+++ b/crates/millethook-engine/src/news.rs
@@ -1,7 +1,7 @@
 //! What the engine's sources and the engine tell one another, so that neither has to know the
 //! other: discovery and peers bring news, and datagrams go out by whatever carries them.
 
-use coppercart::api::ListKind;
+use coppercart::api::{ListKind, ServerId, Standing};
 
 use crate::list::List;
 
@@ -20,3 +20,9 @@
     /// Sends a datagram to a sidecar by its number, or to all; it may be lost, like any.
     fn tell(&self, peer: u32, data: &[u8]);
 }
+
+/// Whoever wants to hear what the fleet makes of servers.
+pub trait StandingSink {
+    /// A server stands otherwise than before.
+    fn stands(&self, server: ServerId, standing: Standing);
+}
--- a/crates/millethook-engine/src/product.rs
+++ b/crates/millethook-engine/src/product.rs
@@ -66,5 +66,6 @@
         name: of.name.clone(),
         period: of.period,
         bytes_per_second: of.bytes_per_second,
+        share_evidence: of.share_evidence,
     })
 }
--- a/crates/millethook-lab/src/figures.rs
+++ b/crates/millethook-lab/src/figures.rs
@@ -66,6 +66,8 @@
     /// next event, or there were no views.
     #[serde(default)]
     pub view_agrees_s: Option<f64>,
+    /// From its end until all that run hold the same evidence, where it is shared.
+    pub evidence_agrees_s: Option<f64>,
 }
 
 /// One second of a run.
@@ -156,6 +158,8 @@
     /// Samples in which a sidecar called more members dead than were away.
     #[serde(default)]
     pub views_too_dead: u64,
+    /// The share of samples in which a sidecar doubted some server, where evidence is shared.
+    pub doubting: f64,
     /// Processes.
     pub processes: ProcessFigures,
     /// Broken rules, findings and expectations that were missed, in words.
@@ -213,6 +217,7 @@
         events: events(timeline, plan, outcome, &operations),
         windows,
         views_too_dead: views::too_dead(outcome, plan.sidecars.len()),
+        doubting: views::doubting(outcome),
         processes: processes(outcome),
         faults: Vec::new(),
         void: None,
@@ -389,6 +394,7 @@
             Some((_, w)) if good(&w) => Some(at),
             Some((n, _)) => windows[n..].iter().find(good).map(|w| w.0),
         };
+        let since = |at: Option<Micros>| at.map(|at| at.saturating_sub(end) as f64 / 1e6);
         EventFigures {
             name: format!("{:?}", timeline.events[event].kind),
             at_s: at as f64 / 1e6,
@@ -397,8 +403,8 @@
             worst: worst.map_or(before, |w| w.1.1),
             back_s: back.map(|back| (back - at) as f64 / 1e6),
             herds: HERD_WINDOWS.map(|w| herd(outcome, plan.server_zones.len(), at, w)),
-            view_agrees_s: views::agrees(outcome, end, next)
-                .map(|at| at.saturating_sub(end) as f64 / 1e6),
+            view_agrees_s: since(views::agrees(outcome, end, next)),
+            evidence_agrees_s: since(views::evidence_agrees(outcome, end, next)),
         }
     };
     begins.iter().map(one).collect()
@@ -457,18 +463,25 @@
     less("served", expect.served, figures.served, true);
     less("imbalance", expect.imbalance, figures.imbalance, false);
     less("handshakes", expect.handshakes, figures.handshakes, false);
-    if let Some(limit) = expect.view_agrees_within_s {
+    type Took = fn(&EventFigures) -> Option<f64>;
+    let agreements: [(&str, Option<f64>, Took); 2] = [
+        ("view_agrees_within_s", expect.view_agrees_within_s, |e| e.view_agrees_s),
+        ("evidence_agrees_within_s", expect.evidence_agrees_within_s, |e| e.evidence_agrees_s),
+    ];
+    for (what, limit, took) in agreements {
+        let Some(limit) = limit else { continue };
         // Where the next event comes sooner there is no time to agree.
         let next = figures.events.iter().skip(1).map(|e| e.at_s).chain([f64::INFINITY]);
-        let late = figures.events.iter().zip(next).filter(|(e, next)| {
-            e.view_agrees_s.is_none_or(|s| s > limit) && next - e.end_s > limit
-        });
+        let late = figures
+            .events
+            .iter()
+            .zip(next)
+            .filter(|(e, next)| took(e).is_none_or(|s| s > limit) && next - e.end_s > limit);
         for (event, _) in late {
-            let took = event
-                .view_agrees_s
-                .map_or("not before the next event".into(), |s| format!("{s:.2} s"));
+            let seconds = |s| format!("{s:.2} s");
+            let took = took(event).map_or("not before the next event".into(), seconds);
             missed.push(format!(
-                "view_agrees_within_s: {limit} expected after {} that ended at {:.1} s, not {took}",
+                "{what}: {limit} expected after {} that ended at {:.1} s, not {took}",
                 event.name, event.end_s
             ));
         }
--- a/crates/millethook-lab/src/figures/views.rs
+++ b/crates/millethook-lab/src/figures/views.rs
@@ -15,6 +15,28 @@
 
 /// The first time from `from` on, before `until`, at which all that run have the same view, and it holds them all.
 pub(super) fn agrees(outcome: &Outcome, from: Micros, until: Micros) -> Option<Micros> {
+    first(outcome, from, until, |s, alive| (s.present == alive).then_some(s.hash))
+}
+
+/// The same for what they hold of evidence on servers.
+pub(super) fn evidence_agrees(outcome: &Outcome, from: Micros, until: Micros) -> Option<Micros> {
+    first(outcome, from, until, |s, _| s.evidence.map(|(hash, _)| hash))
+}
+
+/// The share of samples in which a sidecar doubted some server.
+pub(super) fn doubting(outcome: &Outcome) -> f64 {
+    let with = outcome.views.iter().filter_map(|s| s.evidence);
+    let all = with.clone().count().max(1) as f64;
+    with.filter(|(_, doubted)| *doubted > 0).count() as f64 / all
+}
+
+/// The first time at which the same is told of all that run.
+fn first(
+    outcome: &Outcome,
+    from: Micros,
+    until: Micros,
+    told: impl Fn(&ViewSample, usize) -> Option<u64>,
+) -> Option<Micros> {
     let stands = 2 * round(&outcome.views).max(STANDS / 2);
     let mut last: BTreeMap<usize, &ViewSample> = BTreeMap::new();
     for sample in outcome.views.iter().take_while(|s| s.at < until) {
@@ -25,7 +47,8 @@
         // What was said before counts, as long as nobody has said otherwise.
         last.retain(|_, s| s.at + stands > sample.at);
         let alive = running(outcome, sample.at);
-        let right = |s: &&ViewSample| s.present == alive && s.hash == sample.hash && s.at >= from;
+        let same = told(sample, alive);
+        let right = |s: &&ViewSample| s.at >= from && same.is_some() && told(s, alive) == same;
         if last.len() == alive && last.values().all(right) {
             return Some(sample.at);
         }
--- a/crates/millethook-lab/src/timeline/check.rs
+++ b/crates/millethook-lab/src/timeline/check.rs
@@ -95,6 +95,9 @@
     if s.view_period_s > 0.0 && !n.may_tell {
         f.at(&parts.network.1, "may_tell", "true expected, as view_period_s is set");
     }
+    if s.share_evidence && s.view_period_s == 0.0 {
+        f.at(&parts.sidecars.1, "share_evidence", "view_period_s expected beside it");
+    }
     let (e, at) = parts.expect;
     let expected = [
         ("served", e.served, 1.0),
@@ -102,6 +105,7 @@
         ("imbalance", e.imbalance, 1_000.0),
         ("handshakes", e.handshakes, 1_000.0),
         ("view_agrees_within_s", e.view_agrees_within_s, LONGEST_S),
+        ("evidence_agrees_within_s", e.evidence_agrees_within_s, LONGEST_S),
     ];
     for (key, value, most) in expected {
         if let Some(value) = value {
--- a/crates/millethook-lab/src/timeline/mod.rs
+++ b/crates/millethook-lab/src/timeline/mod.rs
@@ -75,6 +75,8 @@
     /// Sidecars keep a view of the fleet, with a probe each so many seconds; 0: they do not. Needs
     /// `network.may_tell`.
     pub view_period_s: f64,
+    /// They tell one another what they meet at servers. Needs a view.
+    pub share_evidence: bool,
     /// Addresses under which one sidecar is seen by others: so many views of the fleet. 0: as many as there
     /// are sidecars up to 16, else 2.
     pub views: usize,
@@ -90,6 +92,7 @@
             descriptors: 384,
             product,
             view_period_s: 0.0,
+            share_evidence: false,
             views: 0,
         }
     }
@@ -277,6 +280,8 @@
     pub handshakes: Option<f64>,
     /// The longest time from an event's end until all sidecars that run have the same view, in seconds.
     pub view_agrees_within_s: Option<f64>,
+    /// The longest time from an event's end until all that run hold the same evidence, in seconds.
+    pub evidence_agrees_within_s: Option<f64>,
 }
 
 impl Timeline {
--- a/crates/millethook-lab/src/world/mod.rs
+++ b/crates/millethook-lab/src/world/mod.rs
@@ -76,6 +76,8 @@
     pub dead: usize,
     /// The same for all that believe the same.
     pub hash: u64,
+    /// What is held of evidence on servers: its hash, and how many servers are doubted by it. None: none is shared.
+    pub evidence: Option<(u64, usize)>,
 }
 
 /// What servers held at a time: by place in the fleet, requests taken and those of them that wait.
--- a/crates/millethook-lab/src/world/processes.rs
+++ b/crates/millethook-lab/src/world/processes.rs
@@ -22,6 +22,9 @@
 use crate::plan::Plan;
 use crate::timeline::Timeline;
 
+/// What a sidecar may send to others in a period of up to a second: the daemon's default.
+const BYTES_A_PERIOD: f64 = 1_500.0;
+
 /// All daemons have to be ready within this.
 const READY: Duration = Duration::from_secs(60);
 /// Between two questions whether a daemon is ready.
@@ -101,7 +104,13 @@
         let mut product = timeline.sidecars.product.clone();
         let period = timeline.sidecars.view_period_s;
         if period > 0.0 {
-            product += &format!("\n[fleet]\nname = \"lab\"\nperiod_s = {period}\n");
+            // What is said in a period is the same however long it lasts: the budget follows.
+            let bytes = (BYTES_A_PERIOD / period.min(1.0)).round();
+            product += "\n[fleet]\nname = \"lab\"\n";
+            product += &format!("period_s = {period}\nbytes_per_second = {bytes}\n");
+            if timeline.sidecars.share_evidence {
+                product += "share_evidence = true\n";
+            }
         }
         let product = match product.as_str() {
             "" => None,
--- a/crates/millethook-lab/src/world/views.rs
+++ b/crates/millethook-lab/src/world/views.rs
@@ -74,5 +74,13 @@
         line?.strip_prefix(':')?.split('|').next()?.parse().ok()
     };
     let present = (figure("alive")? + figure("suspect")?) as usize;
-    Some(ViewSample { at, sidecar, present, dead: figure("dead")? as usize, hash: figure("hash")? })
+    let evidence = figure("evidence.hash").zip(figure("evidence.doubted"));
+    Some(ViewSample {
+        at,
+        sidecar,
+        present,
+        dead: figure("dead")? as usize,
+        hash: figure("hash")?,
+        evidence: evidence.map(|(hash, doubted)| (hash, doubted as usize)),
+    })
 }
--- a/crates/millethook-lab/tests/processes.rs
+++ b/crates/millethook-lab/tests/processes.rs
@@ -57,6 +57,11 @@
     hold(&["view-joins.toml", "view-ends.toml", "view-cuts.toml", "view-lossy.toml"]);
 }
 
+#[test]
+fn evidence_on_servers_becomes_equal_after_cuts_losses_kills_pauses_and_restarts() {
+    hold(&["evidence-cuts.toml", "evidence-ends.toml"]);
+}
+
 /// What the judges say of a daemon that does this wrong.
 fn caught(file: &str, wrong: &str, said: &str) {
     let rogue = rogue();
--- a/crates/millethook-replica/src/message.rs
+++ b/crates/millethook-replica/src/message.rs
@@ -6,7 +6,7 @@
 //! | 2 | of a comparison: the salt of its hashes |
 //! | 4 | the hash of all that the sender holds |
 //! | 32 | of a comparison only: hashes of 32 ranges of keys, a byte each |
-//! | 30 | evidence: 1 and the verdict (1), server (8), author (2), its epoch (6), counter (4), the server's epoch (6), zone (1), age in hundredths of a second (2) |
+//! | 30 | evidence: 1 and the verdict (1), server (8), author (2), its epoch (6), counter (4), the server's epoch (6), zone (1), age in milliseconds (2) |
 //! | 17 | a departure: 2 and how far (1), server (8), its epoch (6), age (2) |
 
 use crate::entry::{Departure, Entry, Key, Verdict, Word};
@@ -17,8 +17,8 @@
 pub(crate) const BASE: usize = 7;
 /// Ranges of keys that are compared.
 pub(crate) const RANGES: usize = 32;
-/// Ages are told in these steps; rounded up, as ages only grow.
-const STEP: Micros = 10_000;
+/// Ages are told in these steps. Danger: rounded up, an entry that two tell one another to and fro would age by itself.
+const STEP: Micros = 1_000;
 
 /// What a message is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -101,7 +101,7 @@
         // The types let a key stand beside another's word; no such entry is ever made.
         _ => return true,
     }
-    let age = u16::try_from(entry.age.div_ceil(STEP)).unwrap_or(u16::MAX);
+    let age = u16::try_from(entry.age / STEP).unwrap_or(u16::MAX);
     bytes.extend_from_slice(&age.to_be_bytes());
     let fits = bytes.len() <= longest.min(LONGEST);
     if !fits {
--- a/crates/millethook-replica/src/replica.rs
+++ b/crates/millethook-replica/src/replica.rs
@@ -25,6 +25,8 @@
     pub zone: u8,
     /// Time between two comparisons with a random peer, in microseconds.
     pub period: Micros,
+    /// A server that owes an answer is silent after this time, in microseconds.
+    pub silence: Micros,
     /// For random numbers.
     pub seed: u64,
 }
@@ -175,7 +177,8 @@
         let gossips = !self.news.is_empty() || self.differs_until > self.next_gossip;
         let next =
             if gossips { self.next_compare.min(self.next_gossip) } else { self.next_compare };
-        self.next_expiry.map_or(next, |at| next.min(at))
+        let silent = self.witness.next_silent(self.config.silence);
+        [self.next_expiry, silent].into_iter().flatten().fold(next, Micros::min)
     }
 
     /// Counts since the start.
@@ -203,9 +206,25 @@
     /// An attempt of the own process has ended.
     pub fn saw(&mut self, now: Micros, server: u64, sent: Micros, seen: Seen) {
         let Some(&server_epoch) = self.listed.get(&server) else { return };
+        let doubted = !self.voices(server, server_epoch, now).0.is_empty();
+        if let Some(verdict) = self.witness.saw(now, server, sent, seen, doubted) {
+            self.say(now, server, server_epoch, verdict);
+        }
+    }
+
+    /// An attempt goes out.
+    pub fn sent(&mut self, now: Micros, server: u64) {
+        self.witness.sent(now, server);
+    }
+
+    /// An attempt was called off.
+    pub fn called_off(&mut self, server: u64) {
+        self.witness.called_off(server);
+    }
+
+    /// Says this of a server, unless it is known.
+    fn say(&mut self, now: Micros, server: u64, server_epoch: Epoch, verdict: Verdict) {
         let (bad, well) = self.voices(server, server_epoch, now);
-        let doubted = !bad.is_empty();
-        let Some(verdict) = self.witness.saw(now, server, sent, seen, doubted) else { return };
         let key = Key::Evidence { server, author: self.config.me };
         let mine = self.store.get(key, now).filter(|mine| {
             let said = matches!(mine.word, Word::Evidence { verdict: v, server_epoch: e, .. }
@@ -246,6 +265,13 @@
         self.weigh(server, now);
     }
 
+    /// The own list no longer names a server, and does not say why.
+    pub fn unlisted(&mut self, server: u64) {
+        self.listed.remove(&server);
+        self.witness.forget(server);
+        self.standings.remove(&server);
+    }
+
     /// The own list says that a server goes.
     pub fn departs(&mut self, now: Micros, server: u64, epoch: Epoch, departure: Departure) {
         let key = Key::Departure { server };
@@ -254,9 +280,7 @@
         let known = self.listed.get(&server).is_some_and(|listed| *listed <= epoch);
         let later = self.store.get(key, now).is_some_and(|held| held.word >= word);
         if departure == Departure::Gone {
-            self.listed.remove(&server);
-            self.witness.forget(server);
-            self.standings.remove(&server);
+            self.unlisted(server);
         }
         if known && !later {
             self.write(key, word, now);
@@ -342,6 +366,11 @@
             }
             self.next_expiry = self.store.next_expiry();
         }
+        for server in self.witness.silent(now, self.config.silence) {
+            if let Some(&epoch) = self.listed.get(&server) {
+                self.say(now, server, epoch, Verdict::Silent);
+            }
+        }
         if self.next_compare <= now {
             self.next_compare = now + self.config.period;
             if self.store.len() > 0 && !self.congested && !mutant::is(Mutant::NoRepair) {
--- a/crates/millethook-replica/src/store.rs
+++ b/crates/millethook-replica/src/store.rs
@@ -1,5 +1,6 @@
 //! The entries: bounded by count and by age, with hashes of ranges of keys.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 
 use crate::entry::{Entry, Key};
@@ -33,8 +34,13 @@
     evidence: usize,
     /// Entries that had to go for newer ones.
     pub crowded_out: u64,
+    /// The hashes, and until when they hold if nothing changes.
+    hashes: Cell<Option<(Micros, Hashes)>>,
 }
 
+/// Of all, and by range of keys.
+type Hashes = (u32, [u32; RANGES]);
+
 impl Store {
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -48,7 +54,7 @@
 
     /// All that is not too old.
     pub fn iter(&self, now: Micros) -> impl Iterator<Item = (Key, Entry)> {
-        self.entries.iter().filter_map(move |(key, _)| Some((*key, self.get(*key, now)?)))
+        self.entries.keys().filter_map(move |key| Some((*key, self.get(*key, now)?)))
     }
 
     /// Evidence on a server.
@@ -70,11 +76,14 @@
         if let Some(held) = self.entries.get_mut(&key) {
             let word = held.entry.word;
             let mut joined = Entry { age: held.age(now), word };
-            joined.join(entry);
+            if joined.join(entry) {
+                self.hashes.set(None);
+            }
             *held = Held { entry: joined, at: now };
             return joined.word != word;
         }
         self.make_room(key, now);
+        self.hashes.set(None);
         self.entries.insert(key, Held { entry: *entry, at: now });
         self.evidence += usize::from(matches!(key, Key::Evidence { .. }));
         true
@@ -100,6 +109,7 @@
     }
 
     fn remove(&mut self, key: Key) {
+        self.hashes.set(None);
         if self.entries.remove(&key).is_some() && matches!(key, Key::Evidence { .. }) {
             self.evidence -= 1;
         }
@@ -124,17 +134,23 @@
         ends.min()
     }
 
-    /// The same for all that hold the same words: in all, and by range of keys.
-    pub fn hashes(&self, now: Micros) -> (u32, [u32; RANGES]) {
-        let (mut all, mut ranges) = (0u32, [0u32; RANGES]);
+    /// The same for all that hold the same words.
+    pub fn hashes(&self, now: Micros) -> Hashes {
+        if let Some((_, known)) = self.hashes.get().filter(|(until, _)| now < *until) {
+            return known;
+        }
+        let (mut all, mut ranges, mut until) = (0u32, [0u32; RANGES], Micros::MAX);
         for (key, held) in &self.entries {
-            if held.age(now) + FADES < key.life() {
+            let left = key.life().saturating_sub(FADES + held.age(now));
+            if left > 0 {
                 let hash = hash_of(*key, &held.entry.word);
                 all = all.wrapping_add(hash as u32);
                 let range = &mut ranges[range_of(*key)];
                 *range = range.wrapping_add(hash as u32);
+                until = until.min(now + left);
             }
         }
+        self.hashes.set(Some((until, (all, ranges))));
         (all, ranges)
     }
 }
--- a/crates/millethook-replica/tests/common/mod.rs
+++ b/crates/millethook-replica/tests/common/mod.rs
@@ -84,6 +84,7 @@
             epoch: self.epoch,
             zone: 0,
             period: S,
+            silence: S / 2,
             seed: self.random.next_u64(),
         };
         let mut replica = Replica::new(config, self.now);
--- a/crates/millethook-replica/tests/fleet.rs
+++ b/crates/millethook-replica/tests/fleet.rs
@@ -46,6 +46,7 @@
             epoch: BORN + 90_000,
             zone: 1,
             period: S,
+            silence: S / 2,
             seed: u64::from(n),
         };
         let mut replica = Replica::new(config, sim.now);
@@ -116,7 +117,9 @@
         }
         sim.saw(0, server, Seen::Broken);
         sim.saw(1, server, Seen::Broken);
-        sim.with(2, |r, now| r.departs(now, server, BORN, Departure::Gone));
+        for n in 0..4 {
+            sim.with(n, |r, now| r.departs(now, server, BORN, Departure::Gone));
+        }
         sim.run(S);
         most = most.max(sim.replicas().map(|r| r.figures().entries).max().unwrap_or(0));
     }
@@ -143,7 +146,15 @@
     let mut sim = Sim::new(8, 1, 9);
     // The liar speaks as a former process of 1, and as the present one of 7: the last that was started.
     for (name, epoch) in [(1u16, BORN + 1), (7, sim.epoch)] {
-        let config = ReplicaConfig { me: name, members: 8, epoch, zone: 0, period: S, seed: 1 };
+        let config = ReplicaConfig {
+            me: name,
+            members: 8,
+            epoch,
+            zone: 0,
+            period: S,
+            silence: S / 2,
+            seed: 1,
+        };
         let mut forged = Replica::new(config, sim.now);
         forged.listed(sim.now, 1, BORN);
         forged.saw(sim.now, 1, sim.now - 10, Seen::Broken);
@@ -156,3 +167,18 @@
     sim.run(3 * S);
     assert_eq!(sim.stand(1, Standing::Doubted), 0, "7 says that it has not said so");
 }
+
+#[test]
+fn servers_that_owe_an_answer_are_silent_before_any_time_is_over() {
+    let mut sim = Sim::new(8, 2, 11);
+    for n in 0..3 {
+        sim.with(n, |r, now| r.sent(now, 1));
+        sim.with(n, |r, now| r.sent(now, 2));
+    }
+    sim.run(S / 4);
+    for n in 0..3 {
+        sim.with(n, |r, now| r.saw(now, 2, now - S / 4, Seen::Answered));
+    }
+    sim.run(S);
+    assert_eq!((sim.stand(1, Standing::Doubted), sim.stand(2, Standing::Trusted)), (8, 8));
+}
--- a/crates/millethook-replica/tests/laws.rs
+++ b/crates/millethook-replica/tests/laws.rs
@@ -72,7 +72,7 @@
         contents in proptest::collection::vec(proptest::collection::vec(any::<u8>(), 0..300), 1..40),
         kinds in proptest::collection::vec(0u8..6, 40),
     ) {
-        let config = ReplicaConfig { me: 0, members: 4, epoch: BORN, zone: 0, period: S, seed: 1 };
+        let config = ReplicaConfig { me: 0, members: 4, epoch: BORN, zone: 0, period: S, silence: S / 2, seed: 1 };
         let mut replica = Replica::new(config, S);
         replica.listed(S, 1, BORN);
         for (mut content, kind) in contents.into_iter().zip(kinds) {
--- a/crates/millethook-view/src/message.rs
+++ b/crates/millethook-view/src/message.rs
@@ -47,6 +47,8 @@
     Compare = 8,
     /// What differs, as I believe it; tell me what you know better.
     Differ = 9,
+    /// The hashes of parts of a range that differs, from `about` on: ask me for one of them.
+    Refine = 10,
 }
 
 /// Why a content is no message.
@@ -95,6 +97,7 @@
             7 => What::Heard,
             8 => What::Compare,
             9 => What::Differ,
+            10 => What::Refine,
             _ => return Err(Malformed::Kind),
         };
         let short = |at: usize| u16::from_be_bytes([head[at], head[at + 1]]);
--- a/crates/millethook-view/src/view.rs
+++ b/crates/millethook-view/src/view.rs
@@ -186,6 +186,21 @@
         self.table.hash
     }
 
+    /// A random member that is thought to be there.
+    pub fn any_present(&mut self) -> Option<u16> {
+        let me = self.config.me;
+        pick(&self.table, &mut self.random, |n, status| status.is_present() && n != me)
+    }
+
+    /// Whether this process is one of the next `most` present members after `number`, and which: so that few of many
+    /// do what is to be done for that member, and all agree who.
+    pub fn follows(&self, number: u16, most: usize) -> Option<usize> {
+        let after = usize::from(number) + 1;
+        let around = (after..self.table.len()).chain(0..usize::from(number));
+        let mut present = around.filter(|n| self.table.status(*n as u16).is_present()).take(most);
+        present.position(|n| n == usize::from(self.config.me))
+    }
+
     /// Counts since the start.
     pub fn figures(&self) -> Figures {
         self.figures
@@ -449,7 +464,7 @@
             // There has to be room for one fact in the answer.
             bytes.resize(least, 0xff);
         }
-        if matches!(what, What::Pull | What::Compare) {
+        if matches!(what, What::Pull | What::Compare | What::Refine) {
             // The answer is as long as this at most.
             bytes.resize(longest, 0xff);
         }
--- a/crates/millethook-view/src/view/hear.rs
+++ b/crates/millethook-view/src/view/hear.rs
@@ -100,7 +100,7 @@
                     self.pull = None;
                 }
             }
-            What::Compare => self.compare(from, head, body),
+            What::Compare | What::Refine => self.compare(from, head, body),
             What::Facts | What::Differ => {}
         }
         // Who is thought dead, and asks nothing, still has to hear it.
@@ -153,7 +153,8 @@
                 self.suspicions.remove(&fact.number);
             }
         }
-        if member.status != fact.status {
+        let restarted = member.epoch > 0 && member.epoch != fact.epoch;
+        if member.status != fact.status || restarted {
             let Fact { number, epoch, .. } = *fact;
             self.events.push_back(Event { number, epoch, before: member.status, now: fact.status });
             if self.events.len() > EVENTS {
--- a/crates/millethook-view/src/view/repair.rs
+++ b/crates/millethook-view/src/view/repair.rs
@@ -109,17 +109,17 @@
     /// Asks a member for what differs, and tells it news.
     pub(super) fn ask_to_compare(&mut self, to: u16) {
         let all = Span { first: 0, width: self.table.len().div_ceil(RANGES) as u16 };
-        self.send_digest(to, all, LONGEST);
+        self.send_digest(to, What::Compare, all, LONGEST);
     }
 
-    fn send_digest(&mut self, to: u16, span: Span, longest: usize) {
+    fn send_digest(&mut self, to: u16, what: What, span: Span, longest: usize) {
         let seq = self.next_seq();
-        let mut bytes = self.head(What::Compare, seq, span.first).write();
+        let mut bytes = self.head(what, seq, span.first).write();
         span.write(&self.table, seq, &mut bytes);
-        self.fill(to, What::Compare, bytes, longest);
+        self.fill(to, what, bytes, longest);
     }
 
-    /// Another's hashes of ranges. Where ranges differ they are sent, or, if they are long, compared in parts.
+    /// Another's hashes of ranges. Where ranges differ they are sent, or, if they are long, told in parts to ask for.
     pub(super) fn compare(&mut self, from: u16, head: &Head, body: &[u8]) {
         let Some((span, theirs)) = Span::read(head.about, body) else { return };
         if self.congested {
@@ -134,19 +134,23 @@
             return;
         }
         let first = below(&mut self.random, differ.len());
-        let many = differ.len() > MANY;
-        if usize::from(span.width) > MOST_SENT && !many {
-            let part = differ[first];
-            let width = part.width.div_ceil(RANGES as u16);
-            return self.send_digest(from, Span { width, ..part }, length);
+        let part = Span { width: differ[first].width.div_ceil(RANGES as u16), ..differ[first] };
+        if head.what == What::Refine {
+            return self.send_digest(from, What::Compare, part, length);
+        }
+        if usize::from(span.width) > MOST_SENT && differ.len() <= MANY {
+            // Danger: were the parts told back as a comparison, its answer would come from the one that lacks them.
+            return self.send_digest(from, What::Refine, part, length);
         }
         let seq = self.next_seq();
         let epoch = self.config.epoch;
         let mut bytes = self.head(What::Differ, seq, NOBODY).write();
-        let ranges = differ[first..].iter().chain(&differ[..first]);
-        let (alive, others): (Vec<Fact>, Vec<Fact>) = (ranges
-            .flat_map(|part| part.facts(&self.table)))
-        .partition(|fact| fact.status == Status::Alive);
+        let mut facts: Vec<Fact> = differ.iter().flat_map(|part| part.facts(&self.table)).collect();
+        // Where not all has room another part goes out each time.
+        let count = facts.len();
+        facts.rotate_left(below(&mut self.random, count).min(count));
+        let (alive, others): (Vec<Fact>, Vec<Fact>) =
+            facts.into_iter().partition(|fact| fact.status == Status::Alive);
         for fact in alive.into_iter().chain(others) {
             if !write_fact(&mut bytes, &fact, epoch, length) {
                 break;
@@ -171,8 +175,8 @@
 
 /// Ranges of the table that are compared at once.
 const RANGES: usize = 64;
-/// A range of so many members and fewer is sent whole.
-const MOST_SENT: usize = 24;
+/// A range of so many members and fewer is sent whole, from a random one on.
+const MOST_SENT: usize = 64;
 /// Where more ranges than this differ, some of them are sent whole, however long they are.
 const MANY: usize = 8;
 /// So many messages in a row with the same hash: the news is everywhere.
--- a/crates/plankvale/src/operated.rs
+++ b/crates/plankvale/src/operated.rs
@@ -31,6 +31,15 @@
     lines.count("fleet.held_too_long", sent.dropped);
     lines.count("fleet.strangers", strangers);
     lines.count("fleet.unreadable", dropped.unreadable + figures.malformed);
+    if let Some((replica, hash)) = fleet.evidence() {
+        lines.gauge("fleet.evidence.entries", replica.entries);
+        lines.gauge("fleet.evidence.hash", hash as usize);
+        lines.gauge("fleet.evidence.doubted", replica.doubted);
+        lines.count("fleet.evidence.written", replica.written);
+        lines.count("fleet.evidence.learned", replica.learned);
+        lines.count("fleet.evidence.crowded_out", replica.crowded_out);
+        lines.count("fleet.evidence.not_believed", replica.malformed);
+    }
     lines.count("fleet.foreign", dropped.foreign);
     lines.count("fleet.misnamed", dropped.misnamed);
 }
