--- /dev/null
+++ b/crates/millethook-replica/examples/ages.rs
@@ -0,0 +1,92 @@
+//! Fleets of replicas on a virtual clock: how old a word is when all have it, bytes, and how long one that starts needs.
+//! Prints a Markdown table.
+//!
+//!     cargo run --release -p millethook-replica --example ages [sizes of fleets]
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use common::{BORN, S, Sim};
+use millethook_replica::{Departure, Seen, Standing};
+
+fn seconds(of: Option<u64>) -> String {
+    of.map_or("-".into(), |t| format!("{:.2}", t as f64 / S as f64))
+}
+
+fn middle(mut of: Vec<Option<u64>>) -> Option<u64> {
+    of.sort_by_key(|t| t.unwrap_or(u64::MAX));
+    of[of.len() / 2]
+}
+
+struct Run {
+    ages: [Option<u64>; 3],
+    bytes: f64,
+    quiet: f64,
+    caught_up: Option<u64>,
+}
+
+fn run(size: u16, seed: u64, loss: f64) -> Run {
+    let mut sim = Sim::new(size, 480, seed);
+    sim.loss = loss;
+    sim.run(2 * S);
+    // Two have met a dead server: the second word makes the doubt.
+    sim.saw(0, 1, Seen::TimedOut);
+    sim.run(S);
+    sim.nodes.iter_mut().for_each(|n| n.bytes = 0);
+    sim.saw(size / 2, 1, Seen::Broken);
+    let begun = sim.now;
+    let mut ages = [None; 3];
+    for (age, share) in ages.iter_mut().zip([0.5, 0.99, 1.0]) {
+        let wanted = (f64::from(size) * share).ceil() as usize;
+        let known = |sim: &Sim| sim.stand(1, Standing::Doubted) >= wanted;
+        *age = sim.run_until(8 * S, known).map(|_| sim.now - begun);
+    }
+    let passed = (sim.now - begun).max(S) as f64 / S as f64;
+    let sum = |sim: &Sim| sim.nodes.iter().map(|n| n.bytes).sum::<u64>() as f64;
+    let bytes = sum(&sim) / passed / f64::from(size);
+    // When it is forgotten nothing is said.
+    sim.run(30 * S);
+    sim.nodes.iter_mut().for_each(|n| n.bytes = 0);
+    sim.run(20 * S);
+    let quiet = sum(&sim) / 20.0 / f64::from(size);
+    // 8 KiB: all lists say that 480 servers leave.
+    for n in 0..size {
+        sim.with(n, |r, now| {
+            (1..=480).for_each(|server| r.departs(now, server, BORN, Departure::Leaving));
+        });
+    }
+    sim.run(5 * S);
+    sim.restart(size / 3);
+    let all = |sim: &Sim| {
+        sim.nodes[usize::from(size / 3)].replica.as_ref().is_some_and(|r| r.figures().entries == 480)
+    };
+    let caught_up = sim.run_until(20 * S, all);
+    Run { ages, bytes, quiet, caught_up }
+}
+
+fn main() {
+    let mut sizes: Vec<u16> = std::env::args().skip(1).filter_map(|a| a.parse().ok()).collect();
+    if sizes.is_empty() {
+        sizes = vec![8, 60, 300, 1_800];
+    }
+    println!(
+        "| sidecars | loss | seeds | half know it after s | 99 of 100 | all | bytes a second of one until then | quiet | \
+         8 KiB are caught up after s |\n|{}",
+        " --- |".repeat(9)
+    );
+    for (size, loss) in sizes.into_iter().flat_map(|size| [0.0, 0.2].map(|loss| (size, loss))) {
+        let seeds = if size > 300 { 3 } else { 9 };
+        let runs: Vec<Run> = (0..seeds).map(|seed| run(size, seed, loss)).collect();
+        let of = |n: usize| seconds(middle(runs.iter().map(|r| r.ages[n]).collect()));
+        let mean = |of: fn(&Run) -> f64| runs.iter().map(of).sum::<f64>() / runs.len() as f64;
+        println!(
+            "| {size} | {loss} | {seeds} | {} | {} | {} | {:.0} | {:.0} | {} |",
+            of(0),
+            of(1),
+            of(2),
+            mean(|r| r.bytes),
+            mean(|r| r.quiet),
+            seconds(middle(runs.iter().map(|r| r.caught_up).collect()))
+        );
+    }
+}
