--- a/crates/millethook-replica/examples/ages.rs
+++ b/crates/millethook-replica/examples/ages.rs
@@ -58,7 +58,10 @@
     sim.run(5 * S);
     sim.restart(size / 3);
     let all = |sim: &Sim| {
-        sim.nodes[usize::from(size / 3)].replica.as_ref().is_some_and(|r| r.figures().entries == 480)
+        sim.nodes[usize::from(size / 3)]
+            .replica
+            .as_ref()
+            .is_some_and(|r| r.figures().entries == 480)
     };
     let caught_up = sim.run_until(20 * S, all);
     Run { ages, bytes, quiet, caught_up }
