--- a/crates/millethook-view/examples/scale.rs
+++ b/crates/millethook-view/examples/scale.rs
@@ -1,6 +1,7 @@
 //! Fleets of views on a virtual clock: time to detect and to agree, false alarms, bytes. Prints Markdown tables.
 //!
 //!     cargo run --release -p millethook-view --example scale [sizes of fleets]
+//!     cargo run --release -p millethook-view --example scale alarms [sizes of fleets]
 
 #[path = "../tests/common/mod.rs"]
 mod common;
@@ -92,10 +93,10 @@
 }
 
 fn main() {
+    let mut sizes: Vec<u16> = std::env::args().skip(1).filter_map(|a| a.parse().ok()).collect();
     if std::env::args().nth(1).as_deref() == Some("alarms") {
-        return alarms();
+        return alarms(&sizes);
     }
-    let mut sizes: Vec<u16> = std::env::args().skip(1).filter_map(|a| a.parse().ok()).collect();
     if sizes.is_empty() {
         sizes = vec![8, 60, 300, 1_800];
     }
@@ -146,13 +147,14 @@
 }
 
 /// An hour under loss, and in large fleets as much of it as this program can wait for; nobody dies.
-fn alarms() {
+fn alarms(wanted: &[u16]) {
     println!(
         "| sidecars | loss | s | members called dead | longest s | bytes a second of one |\n|{}",
         " --- |".repeat(6)
     );
     let sizes = [(8u16, 3_600), (60, 3_600), (300, 3_600), (1_800, 600), (20_000, 60)];
-    for (size, length) in sizes {
+    let wanted = |size: &u16| wanted.is_empty() || wanted.contains(size);
+    for (size, length) in sizes.into_iter().filter(|(size, _)| wanted(size)) {
         for loss in [0.0, 0.05, 0.2, 0.3] {
             let mut sim = if size > CUT { Sim::told(size, 1) } else { Sim::settled(size, 1) };
             // News of the start is told for a while.
