One codec and one skeleton for what sidecars say: millethook-machine

View, replica and channel each read and wrote messages byte by byte, with the same reader, the same finish of splitmix64 and the same mutants; the tests of view and replica each had a fleet of their own. The next package that speaks between sidecars would have written it for a third time.

millethook-machine holds the codec (over the kept crate bytes, which the daemon has anyway), an outbox that gathers records by receiver, the declaration of mutants, and a fleet on a virtual clock with drifting clocks; frames, view and replica use it, and the replica's tests the fleet. Wire bytes are as before: each form is pinned by literal bytes in a test. View and replica, mutants included, pass as before; the view's tests keep their own fleet, as they hand tables in.

--- a/crates/millethook-frames/src/frame.rs
+++ b/crates/millethook-frames/src/frame.rs
@@ -8,6 +8,8 @@
 //! | 6 | the epoch of the sender's process |
 //! | 1, 1, n | records: kind, length, content |
 
+use millethook_machine::codec::{self, BufMut};
+
 /// The longest datagram, as the platform bounds it.
 pub const LONGEST: usize = 256;
 /// The version that is spoken.
@@ -64,15 +66,13 @@
         if !(HEADER..=LONGEST).contains(&bytes.len()) {
             return Err(FrameError::Length(bytes.len()));
         }
-        let (head, records) = bytes.split_at(HEADER);
-        if head[0] != VERSION {
-            return Err(FrameError::Version(head[0]));
+        let mut records = bytes;
+        let mut take = |width| codec::uint(&mut records, width).ok_or(FrameError::Truncated);
+        let version = take(1)? as u8;
+        if version != VERSION {
+            return Err(FrameError::Version(version));
         }
-        let number = |range: std::ops::Range<usize>| {
-            head[range].iter().fold(0, |n: u64, byte| n << 8 | u64::from(*byte))
-        };
-        let header =
-            Header { fleet: number(1..5) as u32, from: number(5..7) as u16, epoch: number(7..13) };
+        let header = Header { fleet: take(4)? as u32, from: take(2)? as u16, epoch: take(6)? };
         let frame = Frame { header, records };
         let read: usize = frame.records().map(|(_, content)| RECORD_HEADER + content.len()).sum();
         if read != records.len() {
@@ -101,10 +101,10 @@
     /// An empty one.
     pub fn new(header: Header) -> FrameWriter {
         let mut bytes = Vec::with_capacity(LONGEST);
-        bytes.push(VERSION);
-        bytes.extend_from_slice(&header.fleet.to_be_bytes());
-        bytes.extend_from_slice(&header.from.to_be_bytes());
-        bytes.extend_from_slice(&header.epoch.to_be_bytes()[2..]);
+        bytes.put_u8(VERSION);
+        bytes.put_u32(header.fleet);
+        bytes.put_u16(header.from);
+        codec::put_epoch(&mut bytes, header.epoch);
         FrameWriter(bytes)
     }
 
--- /dev/null
+++ b/crates/millethook-machine/src/codec.rs
@@ -0,0 +1,54 @@
+//! Messages within 256 bytes. Numbers are big-endian, as [`bytes::BufMut`] writes them; what is read is never trusted
+//! to be long enough.
+
+use bytes::Buf;
+pub use bytes::BufMut;
+
+/// Takes an unsigned number of 1 to 8 bytes from the front; None: there is less, and nothing was taken.
+pub fn uint(bytes: &mut &[u8], width: usize) -> Option<u64> {
+    bytes.try_get_uint(width).ok()
+}
+
+/// A number of one byte.
+pub fn byte(bytes: &mut &[u8]) -> Option<u8> {
+    bytes.try_get_u8().ok()
+}
+
+/// A number of two bytes.
+pub fn short(bytes: &mut &[u8]) -> Option<u16> {
+    bytes.try_get_u16().ok()
+}
+
+/// A number of four bytes.
+pub fn word(bytes: &mut &[u8]) -> Option<u32> {
+    bytes.try_get_u32().ok()
+}
+
+/// Adds an epoch: 48 bits.
+pub fn put_epoch(bytes: &mut Vec<u8>, epoch: u64) {
+    bytes.put_uint(epoch & 0xffff_ffff_ffff, 6);
+}
+
+/// Takes an epoch.
+pub fn epoch(bytes: &mut &[u8]) -> Option<u64> {
+    uint(bytes, 6)
+}
+
+/// Adds what `write` writes, if the whole is no longer than `longest`; false: it is, and nothing has changed.
+pub fn push_within(bytes: &mut Vec<u8>, longest: usize, write: impl FnOnce(&mut Vec<u8>)) -> bool {
+    let before = bytes.len();
+    write(bytes);
+    let fits = bytes.len() <= longest.min(crate::LONGEST);
+    if !fits {
+        bytes.truncate(before);
+    }
+    fits
+}
+
+/// Records up to the first that makes no sense, or padding.
+pub fn records<'b, T: 'b>(
+    mut bytes: &'b [u8],
+    mut read: impl FnMut(&mut &'b [u8]) -> Option<T> + 'b,
+) -> impl Iterator<Item = T> + 'b {
+    std::iter::from_fn(move || read(&mut bytes))
+}
--- a/crates/millethook-replica/examples/ages.rs
+++ b/crates/millethook-replica/examples/ages.rs
@@ -32,7 +32,7 @@
     // Two have met a dead server: the second word makes the doubt.
     sim.saw(0, 1, Seen::TimedOut);
     sim.run(S);
-    sim.nodes.iter_mut().for_each(|n| n.bytes = 0);
+    sim.nodes.iter_mut().for_each(|n| n.sent.0 = 0);
     sim.saw(size / 2, 1, Seen::Broken);
     let begun = sim.now;
     let mut ages = [None; 3];
@@ -42,11 +42,11 @@
         *age = sim.run_until(8 * S, known).map(|_| sim.now - begun);
     }
     let passed = (sim.now - begun).max(S) as f64 / S as f64;
-    let sum = |sim: &Sim| sim.nodes.iter().map(|n| n.bytes).sum::<u64>() as f64;
+    let sum = |sim: &Sim| sim.nodes.iter().map(|n| n.sent.0).sum::<u64>() as f64;
     let bytes = sum(&sim) / passed / f64::from(size);
     // When it is forgotten nothing is said.
     sim.run(30 * S);
-    sim.nodes.iter_mut().for_each(|n| n.bytes = 0);
+    sim.nodes.iter_mut().for_each(|n| n.sent.0 = 0);
     sim.run(20 * S);
     let quiet = sum(&sim) / 20.0 / f64::from(size);
     // 8 KiB: all lists say that 480 servers leave.
@@ -57,12 +57,7 @@
     }
     sim.run(5 * S);
     sim.restart(size / 3);
-    let all = |sim: &Sim| {
-        sim.nodes[usize::from(size / 3)]
-            .replica
-            .as_ref()
-            .is_some_and(|r| r.figures().entries == 480)
-    };
+    let all = |sim: &Sim| sim.replica(size / 3).figures().entries == 480;
     let caught_up = sim.run_until(20 * S, all);
     Run { ages, bytes, quiet, caught_up }
 }
--- a/crates/millethook-replica/src/message.rs
+++ b/crates/millethook-replica/src/message.rs
@@ -9,11 +9,13 @@
 //! | 30 | evidence: 1 and the verdict (1), server (8), author (2), its epoch (6), counter (4), the server's epoch (6), zone (1), age in milliseconds (2) |
 //! | 17 | a departure: 2 and how far (1), server (8), its epoch (6), age (2) |
 
+use millethook_machine::codec::{self, BufMut};
+
+use crate::Micros;
 use crate::entry::{Departure, Entry, Key, Verdict, Word};
-use crate::{Epoch, Micros};
 
 /// The longest content.
-pub const LONGEST: usize = 241;
+pub const LONGEST: usize = millethook_machine::LONGEST;
 pub(crate) const BASE: usize = 7;
 /// Ranges of keys that are compared.
 pub(crate) const RANGES: usize = 32;
@@ -52,72 +54,62 @@
 impl Head {
     pub fn write(&self) -> Vec<u8> {
         let mut bytes = Vec::with_capacity(LONGEST);
-        bytes.push(self.what as u8);
-        bytes.extend_from_slice(&self.salt.to_be_bytes());
-        bytes.extend_from_slice(&self.hash.to_be_bytes());
+        bytes.put_u8(self.what as u8);
+        bytes.put_u16(self.salt);
+        bytes.put_u32(self.hash);
         bytes
     }
 
-    pub fn read(bytes: &[u8]) -> Result<(Head, &[u8]), Malformed> {
-        if bytes.len() > LONGEST {
+    pub fn read(mut bytes: &[u8]) -> Result<(Head, &[u8]), Malformed> {
+        if !(BASE..=LONGEST).contains(&bytes.len()) {
             return Err(Malformed::Length);
         }
-        let (head, body) = bytes.split_first_chunk::<BASE>().ok_or(Malformed::Length)?;
-        let what = match head[0] {
+        let head = &mut bytes;
+        let mut take = |width| codec::uint(head, width).ok_or(Malformed::Length);
+        let what = match take(1)? {
             1 => What::Facts,
             2 => What::Compare,
             3 => What::Differ,
             4 => What::Welcome,
             _ => return Err(Malformed::Kind),
         };
-        let salt = u16::from_be_bytes([head[1], head[2]]);
-        let hash = u32::from_be_bytes([head[3], head[4], head[5], head[6]]);
-        Ok((Head { what, salt, hash }, body))
+        let (salt, hash) = (take(2)? as u16, take(4)? as u32);
+        Ok((Head { what, salt, hash }, bytes))
     }
 }
 
 /// Adds an entry if `longest` allows it; false: it does not, and nothing has changed.
 pub(crate) fn write_entry(bytes: &mut Vec<u8>, key: Key, entry: &Entry, longest: usize) -> bool {
-    let before = bytes.len();
-    let epoch = |bytes: &mut Vec<u8>, e: Epoch| bytes.extend_from_slice(&e.to_be_bytes()[2..]);
-    match (key, entry.word) {
-        (
-            Key::Evidence { server, author },
-            Word::Evidence { author_epoch, counter, server_epoch, verdict, zone },
-        ) => {
-            bytes.push(0x10 | verdict as u8);
-            bytes.extend_from_slice(&server.to_be_bytes());
-            bytes.extend_from_slice(&author.to_be_bytes());
-            epoch(bytes, author_epoch);
-            bytes.extend_from_slice(&counter.to_be_bytes());
-            epoch(bytes, server_epoch);
-            bytes.push(zone);
-        }
-        (Key::Departure { server }, Word::Departure { server_epoch, departure }) => {
-            bytes.push(0x20 | departure as u8);
-            bytes.extend_from_slice(&server.to_be_bytes());
-            epoch(bytes, server_epoch);
+    codec::push_within(bytes, longest, |bytes| {
+        match (key, entry.word) {
+            (
+                Key::Evidence { server, author },
+                Word::Evidence { author_epoch, counter, server_epoch, verdict, zone },
+            ) => {
+                bytes.put_u8(0x10 | verdict as u8);
+                bytes.put_u64(server);
+                bytes.put_u16(author);
+                codec::put_epoch(bytes, author_epoch);
+                bytes.put_u32(counter);
+                codec::put_epoch(bytes, server_epoch);
+                bytes.put_u8(zone);
+            }
+            (Key::Departure { server }, Word::Departure { server_epoch, departure }) => {
+                bytes.put_u8(0x20 | departure as u8);
+                bytes.put_u64(server);
+                codec::put_epoch(bytes, server_epoch);
+            }
+            // The types let a key stand beside another's word; no such entry is ever made.
+            _ => return,
         }
-        // The types let a key stand beside another's word; no such entry is ever made.
-        _ => return true,
-    }
-    let age = u16::try_from(entry.age / STEP).unwrap_or(u16::MAX);
-    bytes.extend_from_slice(&age.to_be_bytes());
-    let fits = bytes.len() <= longest.min(LONGEST);
-    if !fits {
-        bytes.truncate(before);
-    }
-    fits
+        bytes.put_u16(u16::try_from(entry.age / STEP).unwrap_or(u16::MAX));
+    })
 }
 
 /// Entries up to the first that makes no sense, or padding.
-pub(crate) fn read_entries(mut bytes: &[u8]) -> impl Iterator<Item = (Key, Entry)> {
-    let mut take = move |count: usize| {
-        let (taken, rest) = bytes.split_at_checked(count)?;
-        bytes = rest;
-        Some(taken.iter().fold(0u64, |n, byte| n << 8 | u64::from(*byte)))
-    };
-    std::iter::from_fn(move || {
+pub(crate) fn read_entries(bytes: &[u8]) -> impl Iterator<Item = (Key, Entry)> {
+    codec::records(bytes, |bytes| {
+        let mut take = |width| codec::uint(bytes, width);
         let what = take(1)? as u8;
         let (key, word) = match what >> 4 {
             1 => {
@@ -133,13 +125,49 @@
                     2 => Departure::Gone,
                     _ => return None,
                 };
-                (
-                    Key::Departure { server: take(8)? },
-                    Word::Departure { server_epoch: take(6)?, departure },
-                )
+                let key = Key::Departure { server: take(8)? };
+                (key, Word::Departure { server_epoch: take(6)?, departure })
             }
             _ => return None,
         };
         Some((key, Entry { word, age: take(2)? * STEP }))
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// What a build of another day wrote has to be read: the form is fixed by bytes.
+    #[test]
+    fn the_form_is_that_of_the_table() {
+        let head = Head { what: What::Compare, salt: 0x0102, hash: 0x0304_0506 };
+        assert_eq!(head.write(), [2, 1, 2, 3, 4, 5, 6]);
+        assert_eq!(Head::read(&[2, 1, 2, 3, 4, 5, 6, 9]), Ok((head, &[9][..])));
+        let evidence = Word::Evidence {
+            author_epoch: 0x0000_0102_0304_0506,
+            counter: 7,
+            server_epoch: 8,
+            verdict: Verdict::Silent,
+            zone: 3,
+        };
+        let entry = Entry { word: evidence, age: 258_999 };
+        let mut bytes = Vec::new();
+        assert!(write_entry(&mut bytes, Key::Evidence { server: 5, author: 6 }, &entry, 241));
+        let form = [
+            &[0x10 | Verdict::Silent as u8][..],
+            &[0, 0, 0, 0, 0, 0, 0, 5, 0, 6, 1, 2, 3, 4, 5, 6, 0, 0, 0, 7],
+            &[0, 0, 0, 0, 0, 8, 3, 1, 2],
+        ];
+        assert_eq!(bytes, form.concat());
+        let departure = Word::Departure { server_epoch: 9, departure: Departure::Gone };
+        let key = Key::Departure { server: 4 };
+        assert!(!write_entry(&mut bytes, key, &Entry { word: departure, age: 0 }, 46));
+        assert!(write_entry(&mut bytes, key, &Entry { word: departure, age: 0 }, 47));
+        assert_eq!(bytes[30..], [0x22, 0, 0, 0, 0, 0, 0, 0, 4, 0, 0, 0, 0, 0, 9, 0, 0]);
+        let read: Vec<_> = read_entries(&bytes).collect();
+        assert_eq!(read.len(), 2);
+        assert_eq!(read[0].1, Entry { age: 258_000, ..entry });
+        assert_eq!(read_entries(&bytes[..46]).count(), 1);
+    }
+}
--- a/crates/millethook-replica/src/replica.rs
+++ b/crates/millethook-replica/src/replica.rs
@@ -2,13 +2,14 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use millethook_machine::hash::mix;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 
 use crate::entry::{Departure, Entry, Key, Verdict, Word};
 use crate::message::{BASE, Head, LONGEST, Malformed, RANGES, What, read_entries, write_entry};
 use crate::mutant::{self, Mutant};
-use crate::store::{Store, mix, range_of};
+use crate::store::{Store, range_of};
 use crate::witness::{Seen, Witness};
 use crate::{Epoch, Micros};
 
--- a/crates/millethook-replica/src/store.rs
+++ b/crates/millethook-replica/src/store.rs
@@ -3,6 +3,8 @@
 use std::cell::Cell;
 use std::collections::BTreeMap;
 
+use millethook_machine::hash::mix;
+
 use crate::entry::{Entry, Key};
 use crate::message::RANGES;
 use crate::{Micros, entry::Word};
@@ -178,10 +180,3 @@
         }
     }
 }
-
-/// splitmix64's finish.
-pub(crate) fn mix(mut x: u64) -> u64 {
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
--- a/crates/millethook-replica/tests/fleet.rs
+++ b/crates/millethook-replica/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{BORN, S, Sim};
+use common::{BORN, Held, S, Sim};
 use millethook_replica::{Departure, MOST_EVIDENCE, Replica, ReplicaConfig, Seen, Standing};
 use rand_core::RngCore;
 
@@ -51,7 +51,7 @@
         };
         let mut replica = Replica::new(config, sim.now);
         replica.listed(sim.now, 1, BORN);
-        sim.nodes[usize::from(n)].replica = Some(replica);
+        sim.nodes[usize::from(n)].machine = Some(Held(replica));
     }
     sim.saw(3, 1, Seen::TimedOut);
     sim.saw(4, 1, Seen::TimedOut);
@@ -89,7 +89,7 @@
     }
     sim.run(5 * S);
     sim.restart(17);
-    let all = |sim: &Sim| sim.nodes[17].replica.as_ref().unwrap().figures().entries == 480;
+    let all = |sim: &Sim| sim.replica(17).figures().entries == 480;
     assert!(sim.run_until(S, all).is_some());
 }
 
@@ -137,7 +137,7 @@
             r.saw(now + 20, server, now + 15, Seen::Broken);
         });
     }
-    let figures = sim.nodes[0].replica.as_ref().unwrap().figures();
+    let figures = sim.replica(0).figures();
     assert!(figures.entries <= MOST_EVIDENCE && figures.crowded_out > 0, "{figures:?}");
 }
 
--- a/crates/millethook-view/src/message.rs
+++ b/crates/millethook-view/src/message.rs
@@ -11,10 +11,12 @@
 //! | 34 | of a comparison only: the width of a range of the table, and the hashes of 16 of them, 2 bytes each |
 //! | 7 to 13 each | facts: number (2), status and what follows (1), epoch (4: from the sender's, or 6), incarnation (2, unless it is 0), by whom (2, of the suspect and the dead) |
 
+use millethook_machine::codec::{self, BufMut};
+
 use crate::fact::{Epoch, Fact, MOST_EPOCH, Status};
 
 /// The longest content.
-pub const LONGEST: usize = 241;
+pub const LONGEST: usize = millethook_machine::LONGEST;
 pub(crate) const BASE: usize = 17;
 /// The hashes of ranges that stand before the facts of a comparison: a width, and 16 of them.
 pub(crate) const DIGEST: usize = 66;
@@ -73,21 +75,22 @@
 impl Head {
     pub fn write(&self) -> Vec<u8> {
         let mut bytes = Vec::with_capacity(LONGEST);
-        bytes.push(self.what as u8);
-        bytes.extend_from_slice(&self.seq.to_be_bytes());
-        bytes.extend_from_slice(&self.hash.to_be_bytes());
-        bytes.extend_from_slice(&self.incarnation.to_be_bytes());
-        bytes.extend_from_slice(&self.about.to_be_bytes());
-        bytes.extend_from_slice(&self.epoch.to_be_bytes()[2..]);
+        bytes.put_u8(self.what as u8);
+        bytes.put_u16(self.seq);
+        bytes.put_u32(self.hash);
+        bytes.put_u16(self.incarnation);
+        bytes.put_u16(self.about);
+        codec::put_epoch(&mut bytes, self.epoch);
         bytes
     }
 
-    pub fn read(bytes: &[u8]) -> Result<(Head, &[u8]), Malformed> {
-        if bytes.len() > LONGEST {
+    pub fn read(mut bytes: &[u8]) -> Result<(Head, &[u8]), Malformed> {
+        if !(BASE..=LONGEST).contains(&bytes.len()) {
             return Err(Malformed::Length);
         }
-        let (head, facts) = bytes.split_first_chunk::<BASE>().ok_or(Malformed::Length)?;
-        let what = match head[0] {
+        let head = &mut bytes;
+        let mut take = |width| codec::uint(head, width).ok_or(Malformed::Length);
+        let what = match take(1)? {
             1 => What::Ping,
             2 => What::Ack,
             3 => What::PingReq,
@@ -100,56 +103,41 @@
             10 => What::Refine,
             _ => return Err(Malformed::Kind),
         };
-        let short = |at: usize| u16::from_be_bytes([head[at], head[at + 1]]);
-        let hash = u32::from_be_bytes([head[3], head[4], head[5], head[6]]);
-        let epoch = whole_epoch(&head[11..]);
-        let head =
-            Head { what, seq: short(1), hash, incarnation: short(7), about: short(9), epoch };
-        Ok((head, facts))
+        let (seq, hash, incarnation) = (take(2)? as u16, take(4)? as u32, take(2)? as u16);
+        let (about, epoch) = (take(2)? as u16, take(6)?);
+        Ok((Head { what, seq, hash, incarnation, about, epoch }, bytes))
     }
 }
 
-fn whole_epoch(bytes: &[u8]) -> Epoch {
-    bytes.iter().fold(0, |n: u64, byte| n << 8 | u64::from(*byte))
-}
-
 fn has_by(status: Status) -> bool {
     matches!(status, Status::Suspect | Status::Dead)
 }
 
 /// Adds a fact, counted from an epoch, if `longest` allows it; false: it does not, and nothing has changed.
 pub(crate) fn write_fact(bytes: &mut Vec<u8>, fact: &Fact, from: Epoch, longest: usize) -> bool {
-    let before = bytes.len();
     let near = i32::try_from(fact.epoch as i64 - from as i64);
     let whole = if near.is_err() { WHOLE_EPOCH } else { 0 };
     let told = if fact.incarnation > 0 { INCARNATION } else { 0 };
-    bytes.extend_from_slice(&fact.number.to_be_bytes());
-    bytes.push(fact.status.wire() | whole | told);
-    match near {
-        Ok(near) => bytes.extend_from_slice(&near.to_be_bytes()),
-        Err(_) => bytes.extend_from_slice(&fact.epoch.to_be_bytes()[2..]),
-    }
-    if fact.incarnation > 0 {
-        bytes.extend_from_slice(&fact.incarnation.to_be_bytes());
-    }
-    if has_by(fact.status) {
-        bytes.extend_from_slice(&fact.by.to_be_bytes());
-    }
-    let fits = bytes.len() <= longest.min(LONGEST);
-    if !fits {
-        bytes.truncate(before);
-    }
-    fits
+    codec::push_within(bytes, longest, |bytes| {
+        bytes.put_u16(fact.number);
+        bytes.put_u8(fact.status.wire() | whole | told);
+        match near {
+            Ok(near) => bytes.put_i32(near),
+            Err(_) => codec::put_epoch(bytes, fact.epoch),
+        }
+        if fact.incarnation > 0 {
+            bytes.put_u16(fact.incarnation);
+        }
+        if has_by(fact.status) {
+            bytes.put_u16(fact.by);
+        }
+    })
 }
 
 /// Facts up to the first that makes no sense, or padding.
-pub(crate) fn read_facts(mut bytes: &[u8], from: Epoch) -> impl Iterator<Item = Fact> {
-    let mut take = move |count: usize| {
-        let (taken, rest) = bytes.split_at_checked(count)?;
-        bytes = rest;
-        Some(whole_epoch(taken))
-    };
-    std::iter::from_fn(move || {
+pub(crate) fn read_facts(bytes: &[u8], from: Epoch) -> impl Iterator<Item = Fact> {
+    codec::records(bytes, move |bytes| {
+        let mut take = |width| codec::uint(bytes, width);
         let number = take(2)? as u16;
         let what = take(1)? as u8;
         let status = Status::from_wire(what & 0x0f)?;
@@ -163,3 +151,36 @@
         sound.then_some(Fact { number, epoch, incarnation, status, by })
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// What a build of another day wrote has to be read: the form is fixed by bytes.
+    #[test]
+    fn the_form_is_that_of_the_table() {
+        let head = Head {
+            what: What::Piece,
+            seq: 0x0102,
+            hash: 0x0304_0506,
+            incarnation: 7,
+            about: 8,
+            epoch: 0x0000_1112_1314_1516,
+        };
+        let bytes = [5, 1, 2, 3, 4, 5, 6, 0, 7, 0, 8, 0x11, 0x12, 0x13, 0x14, 0x15, 0x16];
+        assert_eq!(head.write(), bytes);
+        assert_eq!(Head::read(&bytes), Ok((head, &[][..])));
+        assert_eq!(Head::read(&bytes[..16]), Err(Malformed::Length));
+        let from = 1_000;
+        let near = Fact { number: 1, epoch: 990, incarnation: 0, status: Status::Alive, by: 1 };
+        let far = Fact { number: 2, epoch: 1 << 40, incarnation: 3, status: Status::Dead, by: 9 };
+        let mut facts = Vec::new();
+        assert!(write_fact(&mut facts, &near, from, 241));
+        assert!(!write_fact(&mut facts, &far, from, 19));
+        assert!(write_fact(&mut facts, &far, from, 20));
+        let near_form = [0, 1, Status::Alive.wire(), 0xff, 0xff, 0xff, 0xf6];
+        let far_form = [0, 2, Status::Dead.wire() | 0x30, 1, 0, 0, 0, 0, 0, 0, 3, 0, 9];
+        assert_eq!(facts, [&near_form[..], &far_form].concat());
+        assert_eq!(read_facts(&facts, from).collect::<Vec<_>>(), [near, far]);
+    }
+}
--- a/crates/millethook-view/src/mutant.rs
+++ b/crates/millethook-view/src/mutant.rs
@@ -1,9 +1,6 @@
-//! One check taken out at a time, for the test that the explorer finds each (`--features mutants`). Without the
-//! feature nothing of it is in the program.
+//! Rules that tests take out (`--features mutants`, `tests/explore.rs`).
 
-/// A check that is missing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Mutant {
+millethook_machine::mutants! {
     /// A later process does not count before an earlier one.
     EpochsDoNotCount,
     /// What left can be called alive again.
@@ -21,26 +18,3 @@
     /// A suspicion does not end.
     SuspectForEver,
 }
-
-#[cfg(feature = "mutants")]
-thread_local! {
-    static PRESENT: std::cell::Cell<Option<Mutant>> = const { std::cell::Cell::new(None) };
-}
-
-/// Takes a check out, on this thread.
-#[cfg(feature = "mutants")]
-pub fn become_mutant(mutant: Option<Mutant>) {
-    PRESENT.set(mutant);
-}
-
-/// Whether this check is out.
-#[cfg(feature = "mutants")]
-pub(crate) fn is(mutant: Mutant) -> bool {
-    PRESENT.get() == Some(mutant)
-}
-
-/// Whether this check is out.
-#[cfg(not(feature = "mutants"))]
-pub(crate) const fn is(_: Mutant) -> bool {
-    false
-}
--- a/crates/millethook-view/src/table.rs
+++ b/crates/millethook-view/src/table.rs
@@ -1,5 +1,7 @@
 //! The members and what is believed of each: 24 bytes a member.
 
+use millethook_machine::hash::mix;
+
 use crate::fact::{Epoch, Fact, Rank, Status, rank};
 
 /// A member, as it is believed to be.
@@ -39,13 +41,6 @@
     }
 }
 
-/// splitmix64's finish: each part spreads over all bits, so that a sum does not hang on the order.
-pub(crate) fn mix(mut x: u64) -> u64 {
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
-
 /// How many members are what.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
--- a/crates/millethook-view/src/view/repair.rs
+++ b/crates/millethook-view/src/view/repair.rs
@@ -3,7 +3,7 @@
 
 use super::*;
 use crate::message::DIGEST;
-use crate::table::mix;
+use millethook_machine::hash::mix;
 
 /// The table that a newcomer fetches, piece by piece.
 #[derive(Clone, Copy, Debug)]
