Leases by a majority of seats: one owner at a time, and one that wakes late does no harm

Work of the fleet is done by all or by none: each sidecar tries a dead server by itself. Emptying a store of kept writes and moving placement need one owner, and one that stood still must not go on where it stopped.

millethook-lease grants a named job by a majority of 3, 5 or 7 configured members, in one phase, without disk and without comparing clocks; tokens grow over restarts, changes of the members need both majorities, and a fence refuses lower tokens. The engine runs it on the channel ([lease], off by default); the first job is the trial of a doubted server by one sidecar of each zone (dead_servers). The replica carries owners' words by their tokens.

--- a/crates/millethook-config/src/lib.rs
+++ b/crates/millethook-config/src/lib.rs
@@ -30,6 +30,8 @@
     pub failover: Option<Failover>,
     /// `[fleet]`
     pub fleet: Option<Fleet>,
+    /// `[lease]`
+    pub lease: Option<Lease>,
 }
 
 /// How log lines are written.
@@ -129,6 +131,21 @@
     pub share_evidence: bool,
 }
 
+/// One owner at a time for work of the fleet. Needs `[fleet]`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Lease {
+    /// Members that grant a job: 3, 5 or 7.
+    pub seats: usize,
+    /// The longest lease.
+    pub longest: Duration,
+    /// How much faster or slower than true time any clock runs, at most.
+    pub drift: f64,
+    /// A list of peers that was replaced is heeded for so long at most.
+    pub change: Duration,
+    /// Whether one sidecar of each zone tries a server that the fleet doubts.
+    pub dead_servers: bool,
+}
+
 /// One thing that is wrong with a file.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fault {
@@ -255,6 +272,29 @@
                 share_evidence: r.flag("share_evidence").unwrap_or(false),
             });
         });
+        r.section("lease", |r| {
+            let seats = r.count("seats", 3..=7).unwrap_or(5);
+            if seats % 2 == 0 {
+                r.fault_at("lease", "seats", format!("3, 5 or 7 expected, not {seats}"));
+            }
+            let seconds = |r: &mut Reader<'_>, key: &str, usual: f64, least: f64, most: f64| {
+                Duration::from_secs_f64(r.number(key, least..=most, "seconds").unwrap_or(usual))
+            };
+            product.lease = Some(Lease {
+                seats,
+                longest: seconds(r, "longest_s", 6.0, 0.5, 60.0),
+                drift: r.number("drift", 0.0..=0.2, "a share").unwrap_or(0.01),
+                change: seconds(r, "change_s", 3_600.0, 1.0, 86_400.0),
+                dead_servers: r.flag("dead_servers").unwrap_or(false),
+            });
+        });
+        let shares = product.fleet.as_ref().map(|fleet| fleet.share_evidence);
+        if product.lease.is_some() && shares.is_none() {
+            r.fault_at("lease", "", "a section [fleet] expected beside it".into());
+        } else if product.lease.as_ref().is_some_and(|l| l.dead_servers) && shares != Some(true) {
+            let text = "fleet.share_evidence = true expected beside it".into();
+            r.fault_at("lease", "dead_servers", text);
+        }
         if let Some(m) = product.membership.as_ref().filter(|m| m.dropped_below > m.usable_above) {
             let text = format!("{} at most expected, as usable_above says", m.usable_above);
             r.fault_at("membership", "dropped_below", text);
--- a/crates/millethook-config/src/reader.rs
+++ b/crates/millethook-config/src/reader.rs
@@ -112,11 +112,12 @@
         self.number(key, 0.0..=1.0, "a share")
     }
 
-    /// Notes a fault at a key that was read.
+    /// Notes a fault at a key that was read; no key: at the section itself.
     pub fn fault_at(&mut self, section: &str, key: &str, text: String) {
         let place = self.places.iter().find(|(s, k, _)| s == section && k == key);
         let span = place.map_or(0..0, |(.., span)| span.clone());
-        self.fault(span, format!("{section}.{key}"), text);
+        let dot = if key.is_empty() { "" } else { "." };
+        self.fault(span, format!("{section}{dot}{key}"), text);
     }
 
     fn fault(&mut self, span: Range<usize>, key: String, text: String) {
--- a/crates/millethook-config/tests/file.rs
+++ b/crates/millethook-config/tests/file.rs
@@ -112,3 +112,19 @@
         }
     }
 }
+
+#[test]
+fn leases_need_a_fleet_and_an_odd_number_of_seats() {
+    let fleet = "[fleet]\nshare_evidence = true\n";
+    assert!(Product::from_toml(&format!("{fleet}[lease]\ndead_servers = true\n")).is_ok());
+    assert_eq!(faults("[lease]"), ["line 1: lease: a section [fleet] expected beside it"]);
+    let alone = faults("[fleet]\n[lease]\ndead_servers = true");
+    assert_eq!(
+        alone,
+        ["line 3: lease.dead_servers: fleet.share_evidence = true expected beside it"]
+    );
+    let even = faults(&format!("{fleet}[lease]\nseats = 4"));
+    assert_eq!(even, ["line 4: lease.seats: 3, 5 or 7 expected, not 4"]);
+    let wide = faults(&format!("{fleet}[lease]\ndrift = 0.5"));
+    assert_eq!(wide, ["line 4: lease.drift: a share from 0 to 0.2 expected, not 0.5"]);
+}
--- a/crates/millethook-engine/src/engine.rs
+++ b/crates/millethook-engine/src/engine.rs
@@ -108,8 +108,9 @@
             }
             let sender = peers.clone()?;
             let (me, zone) = (config.settings.me, config.settings.zone);
-            let silence = config.settings.longest(|c| c.aim);
-            Some(Fleet::start(&of, (me, members), (zone, silence), config.seed, sender))
+            let times =
+                (config.settings.longest(|c| c.aim), config.settings.longest(|c| c.deadline));
+            Some(Fleet::start(&of, (me, members), (zone, times.0, times.1), config.seed, sender))
         });
         let names = config.names;
         let limits = &config.settings.limits;
@@ -259,6 +260,9 @@
     /// Discovery, and the other sidecars, are elsewhere from now on. Requests under way,
     /// connections and what is known of servers stay as they are.
     pub fn moved(&self, discovery: SocketAddr, peers: Vec<SocketAddr>, all: Option<SocketAddr>) {
+        if let Some(fleet) = &self.fleet {
+            fleet.resized(peers.len());
+        }
         if let Some(known) = &self.peers {
             known.moved(peers, all);
         }
--- a/crates/millethook-engine/src/evidence.rs
+++ b/crates/millethook-engine/src/evidence.rs
@@ -1,10 +1,13 @@
 //! What the sidecars tell one another of servers, at work: between the driver, which meets the servers and decides, and
 //! [`millethook_replica`], which holds and merges the words.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 
 use coppercart::api::{Health, Micros, Outcome, ServerEntry, ServerId};
-use millethook_replica::{Departure, Figures, Replica, ReplicaConfig, Seen, Standing, To};
+use millethook_lease::{JobId, Token};
+use millethook_replica::{
+    Departure, Figures, Key, Replica, ReplicaConfig, Seen, Standing, To, Word,
+};
 use millethook_view::View;
 
 use crate::news::StandingSink;
@@ -15,6 +18,10 @@
 /// The own copy, and who is told what it makes of servers.
 pub(crate) struct Evidence {
     replica: RefCell<Replica>,
+    /// Whether anything is said of servers; else only what goes by owners' tokens is.
+    shares: bool,
+    /// Words on own jobs so far.
+    said: Cell<u16>,
     sink: RefCell<Option<Box<dyn StandingSink>>>,
 }
 
@@ -27,8 +34,32 @@
 }
 
 impl Evidence {
-    pub fn new(config: ReplicaConfig, now: Micros) -> Evidence {
-        Evidence { replica: RefCell::new(Replica::new(config, now)), sink: RefCell::default() }
+    pub fn new(config: ReplicaConfig, shares: bool, now: Micros) -> Evidence {
+        let (replica, said) = (RefCell::new(Replica::new(config, now)), Cell::new(0));
+        Evidence { replica, shares, said, sink: RefCell::default() }
+    }
+
+    /// Who owns a job by its own word, and how long ago it said so.
+    pub fn job(&self, now: Micros, job: JobId) -> Option<(Token, Micros)> {
+        let entry = self.replica.borrow().get(now, Key::Job { job: job.0 })?;
+        match entry.word {
+            Word::Job { token, .. } => Some((token, entry.age)),
+            _ => None,
+        }
+    }
+
+    /// Tells the fleet that a job is this sidecar's, or still is.
+    pub fn say_job(&self, now: Micros, job: JobId, token: Token) {
+        let said = self.said.get().wrapping_add(1);
+        self.said.set(said);
+        self.replica.borrow_mut().own(now, Key::Job { job: job.0 }, Word::Job { token, said });
+    }
+
+    /// The decisions are told once more that a server is doubted. Nothing may be borrowed meanwhile.
+    pub fn hold(&self, server: ServerId) {
+        if let Some(sink) = self.sink.borrow().as_deref() {
+            sink.stands(server, coppercart::api::Standing::Doubted);
+        }
     }
 
     /// Whoever is told from now on.
@@ -75,11 +106,12 @@
     }
 
     /// Tells what has changed. Nothing of this may be borrowed meanwhile: the decisions act on it at once.
-    pub fn tell(&self) {
+    pub fn tell(&self, also: impl Fn(ServerId, coppercart::api::Standing)) {
         let sink = self.sink.borrow();
         loop {
             let event = self.replica.borrow_mut().poll_event();
             let Some(event) = event else { return };
+            also(ServerId(event.server), told(event.standing));
             if let Some(sink) = sink.as_deref() {
                 sink.stands(ServerId(event.server), told(event.standing));
             }
@@ -88,11 +120,16 @@
 
     /// An attempt goes out.
     pub fn sent(&self, now: Micros, server: ServerId) {
-        self.replica.borrow_mut().sent(now, server.0);
+        if self.shares {
+            self.replica.borrow_mut().sent(now, server.0);
+        }
     }
 
     /// An attempt has ended.
     pub fn saw(&self, now: Micros, server: ServerId, outcome: Outcome, latency: Micros) {
+        if !self.shares {
+            return;
+        }
         let seen = match outcome {
             Outcome::Served | Outcome::Full => Seen::Answered,
             Outcome::Error => Seen::Error,
@@ -107,7 +144,7 @@
     /// The own list, or what changed in it; epochs are milliseconds.
     pub fn listed(&self, now: Micros, entries: &[ServerEntry]) {
         let mut replica = self.replica.borrow_mut();
-        for entry in entries {
+        for entry in entries.iter().filter(|_| self.shares) {
             let (server, epoch) = (entry.id.0, entry.started / 1_000);
             match entry.health {
                 Health::Ready => replica.listed(now, server, epoch),
--- a/crates/millethook-engine/src/fleet.rs
+++ b/crates/millethook-engine/src/fleet.rs
@@ -8,6 +8,7 @@
 use coppercart::api::{Outcome, ServerEntry, ServerId, Standing};
 use coppercart::settings::Settings;
 use millethook_frames::{Channel, ChannelConfig, Frame, Header, Kind, channel, fleet_id};
+use millethook_lease::{JobId, Token};
 use millethook_replica::ReplicaConfig;
 use millethook_view::{Counts, Event, Micros, Status, View, ViewConfig};
 use tokio::sync::Notify;
@@ -15,12 +16,16 @@
 use tokio::time::sleep_until;
 
 use crate::evidence::Evidence;
+use crate::leases::{LeaseSettings, Leases};
 use crate::news::{PeerSender, StandingSink};
+use crate::trials::Turn;
 
 /// The number of the view's messages in frames.
 const VIEW: Kind = Kind { number: 1, weight: 4 };
 /// The number of what is told of servers.
 const EVIDENCE: Kind = Kind { number: 2, weight: 2 };
+/// The number of what is said about leases.
+const LEASE: Kind = Kind { number: 3, weight: 4 };
 /// Bytes that may go out at once, in seconds of the budget.
 const BURST_S: u32 = 2;
 /// Log lines of changes: so many at once, and one more each second.
@@ -39,6 +44,8 @@
     pub bytes_per_second: u32,
     /// Whether sidecars tell one another what they meet at servers, and which servers go.
     pub share_evidence: bool,
+    /// How leases are kept; None: there are none.
+    pub lease: Option<LeaseSettings>,
 }
 
 /// What was not heard.
@@ -60,6 +67,9 @@
     view: RefCell<View>,
     channel: RefCell<Channel>,
     evidence: Option<Evidence>,
+    leases: Option<Leases>,
+    /// What is to be done about doubted servers.
+    turns: RefCell<Vec<Turn>>,
     peers: Rc<dyn PeerSender>,
     wake: Notify,
     dropped: Cell<Dropped>,
@@ -84,7 +94,7 @@
     pub fn start(
         settings: &FleetSettings,
         (me, members): (u32, usize),
-        (zone, silence): (u8, Micros),
+        (zone, silence, hold): (u8, Micros, Micros),
         seed: u64,
         peers: Rc<dyn PeerSender>,
     ) -> Rc<Fleet> {
@@ -100,10 +110,15 @@
         };
         let rate = settings.bytes_per_second;
         let burst = rate.saturating_mul(BURST_S);
-        let channel = ChannelConfig { rate, burst, kinds: vec![VIEW, EVIDENCE] };
-        let evidence = settings.share_evidence.then(|| {
+        let channel = ChannelConfig { rate, burst, kinds: vec![VIEW, EVIDENCE, LEASE] };
+        let (shares, lease) = (settings.share_evidence, settings.lease.as_ref());
+        let evidence = (shares || lease.is_some()).then(|| {
             let ViewConfig { me, members, epoch, period, .. } = config;
-            Evidence::new(ReplicaConfig { me, members, epoch, zone, period, silence, seed }, 0)
+            let config = ReplicaConfig { me, members, epoch, zone, period, silence, seed };
+            Evidence::new(config, shares, 0)
+        });
+        let leases = lease.map(|lease| {
+            Leases::new(lease, (config.me, members, config.epoch, seed), (zone, hold), 0)
         });
         let fleet = Rc::new(Fleet {
             name: settings.name.clone(),
@@ -112,6 +127,8 @@
             view: RefCell::new(View::new(config, 0)),
             channel: RefCell::new(Channel::new(&channel, 0)),
             evidence,
+            leases,
+            turns: RefCell::default(),
             peers,
             wake: Notify::new(),
             dropped: Cell::default(),
@@ -144,6 +161,9 @@
                         }
                         _ => {}
                     }
+                    if let Some(leases) = self.leases.as_ref().filter(|_| kind == LEASE.number) {
+                        leases.handle(now, from, content);
+                    }
                 }
                 drop(view);
                 self.wake.notify_one();
@@ -154,7 +174,11 @@
 
     /// This process is about to end.
     pub fn leave(&self) {
-        self.view.borrow_mut().leave(self.now());
+        let now = self.now();
+        if let Some(leases) = &self.leases {
+            leases.leave(now, &self.view.borrow());
+        }
+        self.view.borrow_mut().leave(now);
         self.pump();
     }
 
@@ -162,7 +186,12 @@
         loop {
             let next = self.pump();
             if let Some(evidence) = &self.evidence {
-                evidence.tell();
+                evidence.tell(|server, standing| {
+                    if let Some(leases) = &self.leases {
+                        leases.stands(self.now(), server, standing);
+                    }
+                });
+                self.take_turns(evidence);
             }
             let next = self.started + Duration::from_micros(next);
             tokio::select! {
@@ -172,6 +201,16 @@
         }
     }
 
+    /// Carries out what is to be done about doubted servers. The decisions act on it at once.
+    fn take_turns(&self, evidence: &Evidence) {
+        for turn in self.turns.take() {
+            match turn {
+                Turn::Hold(server) => evidence.hold(server),
+                Turn::Say(job, token) => evidence.say_job(self.now(), job, token),
+            }
+        }
+    }
+
     /// Does what is due; when there is something to do again.
     fn pump(&self) -> Micros {
         let now = self.now();
@@ -200,6 +239,15 @@
             };
             next = next.min(evidence.pump(now, &mut view, short, send));
         }
+        if let Some(leases) = &self.leases {
+            let known = |job| self.evidence.as_ref().and_then(|e| e.job(now, job));
+            let send = |to, content| {
+                // Its kind is one of the channel's.
+                let _ = channel.offer(to, LEASE.number, content);
+            };
+            let turns = &mut self.turns.borrow_mut();
+            next = next.min(leases.pump(now, view.epoch(), turns, &known, send));
+        }
         let header = Header { fleet: self.id, from: view.me(), epoch: view.epoch() };
         while let Some((to, bytes)) = channel.poll(now, header) {
             self.peers.tell(u32::from(to), &bytes);
@@ -218,6 +266,9 @@
     pub fn sends_to(&self, server: ServerId) {
         if let Some(evidence) = &self.evidence {
             evidence.sent(self.now(), server);
+            if let Some(leases) = &self.leases {
+                leases.sends_to(server);
+            }
             self.wake.notify_one();
         }
     }
@@ -246,6 +297,25 @@
         }
     }
 
+    /// The configured members are so many from now on.
+    pub fn resized(&self, count: usize) {
+        if let Some(leases) = &self.leases {
+            let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+            leases.resized(self.now(), count, unix.as_millis() as u64);
+            self.wake.notify_one();
+        }
+    }
+
+    /// Counts of leases, and whether a change of the members is not through yet; None: there are none.
+    pub fn leases(&self) -> Option<(millethook_lease::Figures, bool)> {
+        self.leases.as_ref().map(|leases| leases.figures(self.now()))
+    }
+
+    /// Jobs that this sidecar owns, with their tokens, at most 64 of them.
+    pub fn owned(&self) -> Vec<(JobId, Token)> {
+        self.leases.as_ref().map_or(Vec::new(), |leases| leases.owned(self.now()))
+    }
+
     /// What is held of others' words, and its hash; None: nothing is shared.
     pub fn evidence(&self) -> Option<(millethook_replica::Figures, u32)> {
         self.evidence.as_ref().map(|e| (e.figures(), e.hash(self.now())))
--- a/crates/millethook-engine/src/lib.rs
+++ b/crates/millethook-engine/src/lib.rs
@@ -12,11 +12,13 @@
 pub mod figures;
 pub mod fleet;
 pub mod keeper;
+pub mod leases;
 pub mod names;
 pub mod news;
 pub mod peers;
 pub mod product;
 pub mod stream;
+mod trials;
 pub mod upload;
 pub mod upstream;
 
--- a/crates/millethook-engine/src/product.rs
+++ b/crates/millethook-engine/src/product.rs
@@ -8,6 +8,7 @@
 
 use crate::fleet::FleetSettings;
 use crate::keeper::KeeperConfig;
+use crate::leases::LeaseSettings;
 use crate::upstream::TrialPage;
 
 /// How the list of servers is kept, if it is.
@@ -67,5 +68,12 @@
         period: of.period,
         bytes_per_second: of.bytes_per_second,
         share_evidence: of.share_evidence,
+        lease: product.lease.as_ref().map(|of| LeaseSettings {
+            seats: of.seats,
+            longest: of.longest,
+            drift: of.drift,
+            change: of.change,
+            dead_servers: of.dead_servers,
+        }),
     })
 }
--- /dev/null
+++ b/crates/millethook-engine/src/trials.rs
@@ -0,0 +1,134 @@
+//! Who tries a server that the fleet doubts: one sidecar of each zone, and the others wait for its word or for the end of
+//! its lease. Where there is no majority of seats each tries as without leases. No clock and no I/O.
+
+use std::collections::BTreeMap;
+
+use coppercart::api::{Micros, ServerId, Standing};
+use millethook_lease::{JobId, Lease, Token};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg32;
+
+/// What is to be done about a doubted server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Turn {
+    /// The decisions leave it alone for another while.
+    Hold(ServerId),
+    /// All are told that this sidecar tries it.
+    Say(JobId, Token),
+}
+
+/// Servers that are tried at once by one sidecar, at most.
+const MOST: usize = 256;
+/// An owner that has sent nothing there for so many holds lets another one try.
+const IDLE_HOLDS: u64 = 3;
+
+struct Doubt {
+    job: JobId,
+    /// When the job is asked for.
+    ask_at: Micros,
+    /// When the decisions are told, or the fleet, again.
+    again_at: Micros,
+    /// Since when it is owned here, and whether anything was sent there since.
+    owned: Option<(Micros, bool)>,
+}
+
+pub(crate) struct Trials {
+    /// For so long the decisions leave a doubted server alone.
+    hold: Micros,
+    length: Micros,
+    job: Box<dyn Fn(u64) -> JobId>,
+    doubted: BTreeMap<u64, Doubt>,
+    random: Pcg32,
+}
+
+impl Trials {
+    pub fn new(hold: Micros, length: Micros, seed: u64, job: Box<dyn Fn(u64) -> JobId>) -> Trials {
+        let random = Pcg32::seed_from_u64(seed);
+        Trials { hold: hold.max(2_000), length, job, doubted: BTreeMap::new(), random }
+    }
+
+    fn some(&mut self, most: Micros) -> Micros {
+        u64::from(self.random.next_u32()) % most.max(1)
+    }
+
+    pub fn stands(&mut self, now: Micros, server: ServerId, standing: Standing, lease: &mut Lease) {
+        let known = self.doubted.contains_key(&server.0);
+        if standing == Standing::Doubted && !known && self.doubted.len() < MOST {
+            // Not all at once: whoever is first is heard of by the others.
+            let ask_at = now + self.some(self.hold);
+            let job = (self.job)(server.0);
+            self.doubted.insert(server.0, Doubt { job, ask_at, again_at: now, owned: None });
+        } else if standing != Standing::Doubted
+            && let Some(doubt) = self.doubted.remove(&server.0)
+        {
+            lease.give_up(now, doubt.job, None);
+        }
+    }
+
+    pub fn tried(&mut self, server: ServerId) {
+        if let Some((_, tried)) = self.doubted.get_mut(&server.0).and_then(|d| d.owned.as_mut()) {
+            *tried = true;
+        }
+    }
+
+    /// Does what is due; when there is something to do again. `known` tells who owns a job, by the fleet's words, and
+    /// how long ago it said so.
+    pub fn tick(
+        &mut self,
+        now: Micros,
+        lease: &mut Lease,
+        known: &dyn Fn(JobId) -> Option<(Token, Micros)>,
+        turns: &mut Vec<Turn>,
+    ) -> Micros {
+        let (hold, length) = (self.hold, self.length);
+        let wait = hold + self.some(hold);
+        let mut next = Micros::MAX;
+        for (server, doubt) in &mut self.doubted {
+            let mine = lease.holds(now, doubt.job);
+            doubt.owned = mine.map(|_| doubt.owned.unwrap_or((now, false)));
+            // Its word is as old as the last renewal; without another one its lease is over.
+            let other = known(doubt.job).filter(|(_, age)| mine.is_none() && *age < length);
+            let held = match lease.standing(now, doubt.job) {
+                Some(millethook_lease::Standing::Held(token, until)) => Some((token, until)),
+                _ => other.map(|(token, age)| (token, now + length - age)),
+            };
+            match (mine, held) {
+                (Some(token), _) => {
+                    let idle = doubt
+                        .owned
+                        .is_some_and(|(at, tried)| !tried && now > at + IDLE_HOLDS * hold);
+                    if idle {
+                        lease.give_up(now, doubt.job, None);
+                        (doubt.owned, doubt.ask_at) = (None, now + length + wait);
+                    } else if doubt.again_at <= now {
+                        doubt.again_at = now + length / 2;
+                        turns.push(Turn::Say(doubt.job, token));
+                    }
+                }
+                (None, Some((_, until))) => {
+                    if other.is_some() {
+                        // Whose it is need not be asked of the seats.
+                        lease.give_up(now, doubt.job, None);
+                        doubt.ask_at = until + wait / 2;
+                    }
+                    if doubt.again_at <= now {
+                        doubt.again_at = now + hold / 2;
+                        turns.push(Turn::Hold(ServerId(*server)));
+                    }
+                }
+                (None, None) if doubt.ask_at <= now => {
+                    lease.want(now, doubt.job, length, 0);
+                }
+                (None, None) => {}
+            }
+            let due = match (mine.is_none() && held.is_none(), doubt.ask_at) {
+                (true, at) if at > now => at,
+                // What becomes of the claim wakes whoever calls this.
+                (true, _) => now + hold,
+                (false, _) => doubt.again_at,
+            };
+            next = next.min(due.max(now + 10_000));
+        }
+        next
+    }
+}
--- a/crates/millethook-lab/src/compare.rs
+++ b/crates/millethook-lab/src/compare.rs
@@ -8,9 +8,10 @@
 type Reader = (&'static str, fn(&Figures) -> f64);
 
 /// What is compared.
-const READERS: [Reader; 9] = [
+const READERS: [Reader; 10] = [
     ("served", |f| f.served),
     ("attempts", |f| f.attempts),
+    ("unanswered", |f| f.unanswered as f64),
     ("handshakes", |f| f.handshakes),
     ("imbalance", |f| f.imbalance),
     ("cold servers, of what they bear", |f| f.cold_peak),
--- a/crates/millethook-lab/src/figures.rs
+++ b/crates/millethook-lab/src/figures.rs
@@ -7,7 +7,7 @@
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
 
-use crate::ledger::{Book, End, Micros};
+use crate::ledger::{Book, End, Fate, Micros};
 use crate::plan::Plan;
 use crate::timeline::Timeline;
 use crate::world::Outcome;
@@ -127,6 +127,9 @@
     pub classes: BTreeMap<String, ClassFigures>,
     /// Attempts at servers for each operation.
     pub attempts: f64,
+    /// Attempts that no server answered.
+    #[serde(default)]
+    pub unanswered: u64,
     /// New connections to servers for each operation.
     pub handshakes: f64,
     /// The highest mean load of a place in the fleet over that of all.
@@ -161,6 +164,12 @@
     /// Samples in which a sidecar called more members dead than were away.
     #[serde(default)]
     pub views_too_dead: u64,
+    /// Times at which a job of the fleet was seen to have two owners.
+    #[serde(default)]
+    pub two_owners: u64,
+    /// Jobs that had an owner at the end.
+    #[serde(default)]
+    pub owned_at_end: usize,
     /// The share of samples in which a sidecar doubted some server, where evidence is shared.
     pub doubting: f64,
     /// Processes.
@@ -205,6 +214,9 @@
         served: served(timeline, &operations, 0, Micros::MAX).unwrap_or(0.0),
         classes: classes(timeline, &operations),
         attempts: measured as f64 / count,
+        unanswered: (outcome.book.attempts.iter())
+            .filter(|a| matches!(a.fate, Fate::Silent | Fate::Open))
+            .count() as u64,
         handshakes: handshakes as f64 / all as f64,
         imbalance: imbalance(outcome, warm_up),
         cv,
@@ -221,6 +233,8 @@
         events: events(timeline, plan, outcome, &operations),
         windows,
         views_too_dead: views::too_dead(outcome, plan.sidecars.len()),
+        two_owners: views::two_owners(outcome),
+        owned_at_end: views::owned_at_end(outcome),
         doubting: views::doubting(outcome),
         processes: processes(outcome),
         faults: Vec::new(),
@@ -467,6 +481,10 @@
     less("served", expect.served, figures.served, true);
     less("imbalance", expect.imbalance, figures.imbalance, false);
     less("handshakes", expect.handshakes, figures.handshakes, false);
+    less("unanswered", expect.unanswered, figures.unanswered as f64, false);
+    // Nobody has to ask for it.
+    less("two owners of a job", Some(0.0), figures.two_owners as f64, false);
+    less("owned_at_end", expect.owned_at_end, figures.owned_at_end as f64, true);
     type Took = fn(&EventFigures) -> Option<f64>;
     let agreements: [(&str, Option<f64>, Took); 2] = [
         ("view_agrees_within_s", expect.view_agrees_within_s, |e| e.view_agrees_s),
--- a/crates/millethook-lab/src/figures/views.rs
+++ b/crates/millethook-lab/src/figures/views.rs
@@ -67,6 +67,41 @@
     rounds.min().unwrap_or(0)
 }
 
+/// Times at which a job had two owners: one that named it with the same token before and after another one did.
+pub(super) fn two_owners(outcome: &Outcome) -> u64 {
+    type Span = (Micros, Micros);
+    let mut owners: BTreeMap<u64, BTreeMap<(usize, &str), Vec<Span>>> = BTreeMap::new();
+    for sample in &outcome.views {
+        for (job, token) in &sample.owned {
+            let by = owners.entry(*job).or_default();
+            let spans = by.entry((sample.sidecar, token.as_str())).or_default();
+            spans.push((sample.asked, sample.at));
+        }
+    }
+    let mut count = 0;
+    for by in owners.values() {
+        for (owner, spans) in by {
+            // Whoever names the same token twice has owned the job all the time between.
+            let Some((first, last)) = spans.first().zip(spans.last()) else { continue };
+            let others = by.iter().filter(|(other, _)| *other != owner).flat_map(|(_, s)| s);
+            count += others.filter(|s| s.0 > first.1 && s.1 < last.0).count() as u64;
+        }
+    }
+    count
+}
+
+/// Jobs that are owned by the last samples of the sidecars.
+pub(super) fn owned_at_end(outcome: &Outcome) -> usize {
+    let end = outcome.views.last().map_or(0, |s| s.at);
+    let mut last: BTreeMap<usize, &ViewSample> = BTreeMap::new();
+    let late = 2 * round(&outcome.views).max(STANDS / 2);
+    for sample in outcome.views.iter().filter(|s| s.at + late > end) {
+        last.insert(sample.sidecar, sample);
+    }
+    let jobs = last.values().flat_map(|s| s.owned.iter().map(|(job, _)| *job));
+    jobs.collect::<std::collections::BTreeSet<u64>>().len()
+}
+
 /// Samples in which somebody called more members dead than did not run.
 pub(super) fn too_dead(outcome: &Outcome, sidecars: usize) -> u64 {
     let away = |at| sidecars.saturating_sub(running(outcome, at));
--- a/crates/millethook-lab/src/timeline/check.rs
+++ b/crates/millethook-lab/src/timeline/check.rs
@@ -104,6 +104,8 @@
         ("back_within_s", e.back_within_s, LONGEST_S),
         ("imbalance", e.imbalance, 1_000.0),
         ("handshakes", e.handshakes, 1_000.0),
+        ("unanswered", e.unanswered, 1e9),
+        ("owned_at_end", e.owned_at_end, 1e6),
         ("view_agrees_within_s", e.view_agrees_within_s, LONGEST_S),
         ("evidence_agrees_within_s", e.evidence_agrees_within_s, LONGEST_S),
     ];
--- a/crates/millethook-lab/src/timeline/mod.rs
+++ b/crates/millethook-lab/src/timeline/mod.rs
@@ -278,6 +278,10 @@
     pub imbalance: Option<f64>,
     /// The most new connections to servers for each request.
     pub handshakes: Option<f64>,
+    /// The most attempts that no server answers.
+    pub unanswered: Option<f64>,
+    /// The least jobs of the fleet that have an owner at the end.
+    pub owned_at_end: Option<f64>,
     /// The longest time from an event's end until all sidecars that run have the same view, in seconds.
     pub view_agrees_within_s: Option<f64>,
     /// The longest time from an event's end until all that run hold the same evidence, in seconds.
--- a/crates/millethook-lab/src/world/mod.rs
+++ b/crates/millethook-lab/src/world/mod.rs
@@ -64,8 +64,12 @@
 }
 
 /// What one sidecar's view of the fleet was at a time.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct ViewSample {
+    /// When it was asked for.
+    pub asked: Micros,
+    /// Jobs that the sidecar owned, with their tokens.
+    pub owned: Vec<(u64, String)>,
     /// When.
     pub at: Micros,
     /// Whose.
--- a/crates/millethook-lab/src/world/views.rs
+++ b/crates/millethook-lab/src/world/views.rs
@@ -41,8 +41,9 @@
                 loop {
                     sleep(every).await;
                     // One that is paused or not there says nothing.
+                    let asked = clock.now();
                     let Ok(Some(text)) = timeout(every, metrics(at)).await else { continue };
-                    if let Some(sample) = sample(&text, clock.now(), sidecar) {
+                    if let Some(sample) = sample(&text, (asked, clock.now()), sidecar) {
                         samples.lock().unwrap_or_else(PoisonError::into_inner).push(sample);
                     }
                 }
@@ -68,14 +69,21 @@
     String::from_utf8(answer.body).ok()
 }
 
-fn sample(text: &str, at: u64, sidecar: usize) -> Option<ViewSample> {
+fn sample(text: &str, (asked, at): (u64, u64), sidecar: usize) -> Option<ViewSample> {
     let figure = |name: &str| -> Option<u64> {
         let line = text.lines().find_map(|l| l.strip_prefix("sidecar.fleet.")?.strip_prefix(name));
         line?.strip_prefix(':')?.split('|').next()?.parse().ok()
     };
     let present = (figure("alive")? + figure("suspect")?) as usize;
     let evidence = figure("evidence.hash").zip(figure("evidence.doubted"));
+    let owned = text.lines().filter_map(|line| {
+        let (job, rest) = line.strip_prefix("sidecar.lease.job.")?.split_once('.')?;
+        let token = rest.split(':').next()?.to_owned();
+        Some((u64::from_str_radix(job, 16).ok()?, token))
+    });
     Some(ViewSample {
+        asked,
+        owned: owned.collect(),
         at,
         sidecar,
         present,
--- a/crates/millethook-lab/tests/processes.rs
+++ b/crates/millethook-lab/tests/processes.rs
@@ -62,6 +62,11 @@
     hold(&["evidence-cuts.toml", "evidence-ends.toml"]);
 }
 
+#[test]
+fn one_owner_tries_a_dead_server_through_kills_pauses_cuts_and_restarts() {
+    hold(&["lease-ends.toml", "lease-cuts.toml"]);
+}
+
 /// What the judges say of a daemon that does this wrong.
 fn caught(file: &str, wrong: &str, said: &str) {
     let rogue = rogue();
--- /dev/null
+++ b/crates/millethook-lease/src/check.rs
@@ -0,0 +1,73 @@
+//! What may never be, by name.
+
+use millethook_machine::Violation;
+
+use crate::lease::{Lease, MOST_WANTED};
+use crate::mutant::{self, Mutant};
+use crate::owner::majority;
+use crate::seat::MOST_JOBS;
+use crate::{Micros, Token};
+
+impl Lease {
+    /// Looks at every rule of this member.
+    ///
+    /// # Errors
+    /// The first one that is broken, with the values.
+    pub fn check(&self, now: Micros) -> Result<(), Violation> {
+        let rule = Violation::unless;
+        rule(self.jobs.len() <= MOST_WANTED, "wanted jobs are bounded", &|| {
+            self.jobs.len().to_string()
+        })?;
+        rule(self.seat.jobs.len() <= MOST_JOBS, "granted jobs are bounded", &|| {
+            self.seat.jobs.len().to_string()
+        })?;
+        for (job, known) in &self.seat.jobs {
+            let Some((token, until)) = known.granted else { continue };
+            rule(token <= known.highest, "a seat knows the token that it granted", &|| {
+                format!("{job:?}: {token} above {}", known.highest)
+            })?;
+            rule(
+                until <= now.saturating_add(self.config.longest),
+                "a seat grants for the longest lease at most",
+                &|| format!("{job:?}: until {until}, now {now}"),
+            )?;
+            rule(
+                now >= self.seat.silent_until
+                    || until <= now
+                    || self.seat.silent_until == Micros::MAX,
+                "a seat that has just started has granted nothing",
+                &|| {
+                    format!(
+                        "{job:?}: {token} until {until}, silent until {}",
+                        self.seat.silent_until
+                    )
+                },
+            )?;
+        }
+        for (job, wanted) in &self.jobs {
+            let Some(owned) = &wanted.owned else { continue };
+            let of = &|| format!("{job:?}: {owned:?}, now {now}");
+            rule(owned.token.owner == self.config.me, "an owner's token is its own", of)?;
+            rule(owned.token != Token::default(), "an owner has a token", of)?;
+            rule(owned.token <= wanted.known, "an owner knows its token", of)?;
+            rule(
+                owned.until <= now.saturating_add(wanted.lease),
+                "a lease is no longer than it was asked for",
+                of,
+            )?;
+            rule(
+                mutant::is(Mutant::NoMajority) || granted_by_majority(wanted),
+                "an owner has a majority of some list's seats",
+                of,
+            )?;
+        }
+        Ok(())
+    }
+}
+
+/// Seats may have become others since the lease was had; then the ones before have granted it.
+fn granted_by_majority(wanted: &crate::owner::Wanted) -> bool {
+    let Some(owned) = &wanted.owned else { return true };
+    let before = wanted.before.iter().any(|b| majority(&b.seats, &owned.by));
+    majority(&wanted.seats, &owned.by) || before
+}
--- /dev/null
+++ b/crates/millethook-lease/src/mutant.rs
@@ -0,0 +1,26 @@
+//! Rules that tests take out (`--features mutants`).
+
+millethook_machine::mutants! {
+    /// A seat that has just started grants at once.
+    NoSilence,
+    /// One seat less than a majority is enough.
+    NoMajority,
+    /// A seat grants what another one holds.
+    GrantsTwice,
+    /// A seat takes a token that is no greater than one that it knows.
+    TokensStay,
+    /// An owner counts from when it was granted, not from when it asked.
+    CountsFromAnswer,
+    /// An owner allows for no difference between clocks.
+    NoDrift,
+    /// After a change of the members the old majority is not asked any more.
+    OldMajorityForgotten,
+    /// A seat answers whoever asks, whatever members that one knows.
+    AnyMembers,
+    /// What was given back can be granted again by a message that comes late.
+    ReleasedComesBack,
+    /// An owner does not look whether its lease is over.
+    NoLook,
+    /// What holds the effects takes lower tokens, too.
+    NoFence,
+}
--- /dev/null
+++ b/crates/millethook-lease/src/seats.rs
@@ -0,0 +1,64 @@
+//! Who may grant a job.
+
+use millethook_machine::hash::{mix, weight};
+
+use crate::JobId;
+
+/// A configured member, the same at all: a hash of its address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Member(pub u64);
+
+/// The configured members by number. A number stays with its sidecar when the list changes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Members {
+    members: Vec<Member>,
+    id: u32,
+}
+
+impl Members {
+    /// These, by number.
+    pub fn new(members: Vec<Member>) -> Members {
+        let fold = |hash: u64, member: &Member| mix(hash.rotate_left(5) ^ mix(member.0));
+        let hash = members.iter().fold(members.len() as u64, fold);
+        // 0 stands for no list.
+        Members { id: ((hash >> 32) as u32).max(1), members }
+    }
+
+    /// The same for the same list.
+    pub fn id(&self) -> u32 {
+        self.id
+    }
+
+    /// How many they are.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// The seats of a job: `count` members, fewer where there are not so many, by weight. Spread over the fleet, so
+    /// that no member has to hear of all jobs.
+    pub fn seats(&self, job: JobId, count: usize) -> Vec<u16> {
+        let of = |(n, member): (usize, &Member)| (weight(job.0, member.0), n as u16);
+        let mut all: Vec<(u64, u16)> = self.members.iter().enumerate().map(of).collect();
+        let count = count.min(all.len());
+        if count < all.len() {
+            all.select_nth_unstable_by(count, |a, b| b.cmp(a));
+            all.truncate(count);
+        }
+        all.sort_unstable_by(|a, b| b.cmp(a));
+        all.into_iter().map(|(_, n)| n).collect()
+    }
+
+    /// How many of `present` come before `me` for a job: who is first tries first.
+    pub fn rank(&self, job: JobId, me: u16, present: impl Iterator<Item = u16>) -> usize {
+        // Another subject than that of the seats, so that owners are others than seats.
+        let subject = mix(job.0 ^ 0x0b);
+        let of = |n: u16| (self.members.get(usize::from(n)).map_or(0, |m| weight(subject, m.0)), n);
+        let mine = of(me);
+        present.filter(|n| *n != me && of(*n) > mine).count()
+    }
+}
--- a/crates/millethook-replica/src/entry.rs
+++ b/crates/millethook-replica/src/entry.rs
@@ -1,5 +1,7 @@
 //! What is replicated, and which of two copies holds.
 
+use millethook_lease::Token;
+
 use crate::mutant::{self, Mutant};
 use crate::{Epoch, Micros};
 
@@ -18,13 +20,24 @@
         /// The server.
         server: u64,
     },
+    /// Who owns a job of the fleet.
+    Job {
+        /// The job's name.
+        job: u64,
+    },
+    /// How far a store of kept writes has been replayed.
+    Edge {
+        /// The store.
+        edge: u64,
+    },
 }
 
 impl Key {
-    /// The server that it is about.
-    pub fn server(self) -> u64 {
+    /// The server that it is about, if it is about one.
+    pub fn server(self) -> Option<u64> {
         match self {
-            Key::Evidence { server, .. } | Key::Departure { server } => server,
+            Key::Evidence { server, .. } | Key::Departure { server } => Some(server),
+            Key::Job { .. } | Key::Edge { .. } => None,
         }
     }
 
@@ -33,6 +46,8 @@
         match self {
             Key::Evidence { .. } => 10_000_000,
             Key::Departure { .. } => 60_000_000,
+            Key::Job { .. } => 20_000_000,
+            Key::Edge { .. } => 30_000_000,
         }
     }
 }
@@ -90,6 +105,24 @@
         /// What it does.
         departure: Departure,
     },
+    /// Of the highest token the latest word holds: a lower one is refused.
+    Job {
+        /// The owner's.
+        token: Token,
+        /// Counts its words.
+        said: u16,
+    },
+    /// Of the highest token the furthest word holds.
+    Edge {
+        /// Of whoever replays the store.
+        token: Token,
+        /// All writes up to this number have their end,
+        upto: u64,
+        /// and of the 64 behind it those whose bit is set, the first one in the lowest.
+        beyond: u64,
+        /// How many have none.
+        left: u16,
+    },
 }
 
 /// A word, and how long ago it was said.
--- a/crates/millethook-replica/src/lib.rs
+++ b/crates/millethook-replica/src/lib.rs
@@ -20,7 +20,7 @@
 #[cfg(feature = "mutants")]
 pub use mutant::{Mutant, become_mutant};
 pub use replica::{Event, Figures, Replica, ReplicaConfig, Standing, To};
-pub use store::{MOST_DEPARTURES, MOST_EVIDENCE};
+pub use store::{MOST_DEPARTURES, MOST_EDGES, MOST_EVIDENCE, MOST_JOBS};
 pub use witness::{Seen, Witness};
 
 /// Microseconds.
--- a/crates/millethook-replica/src/message.rs
+++ b/crates/millethook-replica/src/message.rs
@@ -7,8 +7,11 @@
 //! | 4 | the hash of all that the sender holds |
 //! | 32 | of a comparison only: hashes of 32 ranges of keys, a byte each |
 //! | 30 | evidence: 1 and the verdict (1), server (8), author (2), its epoch (6), counter (4), the server's epoch (6), zone (1), age in milliseconds (2) |
+//! | 25 | a job: 0x30 (1), its name (8), token (12), counter (2), age (2) |
+//! | 39 | a store: 0x40 (1), its name (8), token (12), how far (6), bits (8), left (2), age (2) |
 //! | 17 | a departure: 2 and how far (1), server (8), its epoch (6), age (2) |
 
+use millethook_lease::Token;
 use millethook_machine::codec::{self, BufMut};
 
 use crate::Micros;
@@ -99,6 +102,20 @@
                 bytes.put_u64(server);
                 codec::put_epoch(bytes, server_epoch);
             }
+            (Key::Job { job }, Word::Job { token, said }) => {
+                bytes.put_u8(0x30);
+                bytes.put_u64(job);
+                token.write(bytes);
+                bytes.put_u16(said);
+            }
+            (Key::Edge { edge }, Word::Edge { token, upto, beyond, left }) => {
+                bytes.put_u8(0x40);
+                bytes.put_u64(edge);
+                token.write(bytes);
+                bytes.put_uint(upto, 6);
+                bytes.put_u64(beyond);
+                bytes.put_u16(left);
+            }
             // The types let a key stand beside another's word; no such entry is ever made.
             _ => return,
         }
@@ -109,8 +126,11 @@
 /// Entries up to the first that makes no sense, or padding.
 pub(crate) fn read_entries(bytes: &[u8]) -> impl Iterator<Item = (Key, Entry)> {
     codec::records(bytes, |bytes| {
+        let what = codec::byte(bytes)?;
+        if matches!(what, 0x30 | 0x40) {
+            return read_owned(bytes, what);
+        }
         let mut take = |width| codec::uint(bytes, width);
-        let what = take(1)? as u8;
         let (key, word) = match what >> 4 {
             1 => {
                 let verdict = Verdict::from_wire(what & 0x0f)?;
@@ -134,6 +154,20 @@
     })
 }
 
+/// What goes by an owner's token.
+fn read_owned(bytes: &mut &[u8], what: u8) -> Option<(Key, Entry)> {
+    let name = codec::uint(bytes, 8)?;
+    let token = Token::read(bytes)?;
+    let (key, word) = if what == 0x30 {
+        (Key::Job { job: name }, Word::Job { token, said: codec::short(bytes)? })
+    } else {
+        let (upto, beyond) = (codec::uint(bytes, 6)?, codec::uint(bytes, 8)?);
+        let left = codec::short(bytes)?;
+        (Key::Edge { edge: name }, Word::Edge { token, upto, beyond, left })
+    };
+    Some((key, Entry { word, age: Micros::from(codec::short(bytes)?) * STEP }))
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/millethook-replica/src/replica.rs
+++ b/crates/millethook-replica/src/replica.rs
@@ -288,6 +288,34 @@
         }
     }
 
+    /// Tells the fleet what the own token is for. False: a higher token is known, and nothing was said.
+    pub fn own(&mut self, now: Micros, key: Key, word: Word) -> bool {
+        let token = |word: &Word| match word {
+            Word::Job { token, .. } | Word::Edge { token, .. } => Some(*token),
+            _ => None,
+        };
+        let held = self.store.get(key, now).and_then(|entry| token(&entry.word));
+        if held > token(&word) {
+            return false;
+        }
+        self.write(key, word, now);
+        true
+    }
+
+    /// What is held under a key, with its age.
+    pub fn get(&self, now: Micros, key: Key) -> Option<Entry> {
+        self.store.get(key, now)
+    }
+
+    /// All stores of kept writes of which somebody has spoken.
+    pub fn edges(&self, now: Micros) -> impl Iterator<Item = (u64, Word)> {
+        let all = Key::Edge { edge: 0 }..=Key::Edge { edge: u64::MAX };
+        self.store.range(all, now).filter_map(|(key, entry)| match key {
+            Key::Edge { edge } => Some((edge, entry.word)),
+            _ => None,
+        })
+    }
+
     fn write(&mut self, key: Key, word: Word, now: Micros) {
         self.figures.written += 1;
         self.take(key, &Entry { word, age: 0 }, now);
@@ -300,7 +328,9 @@
             self.tell(key, 0);
             let end = now + key.life();
             self.next_expiry = Some(self.next_expiry.map_or(end, |at| at.min(end)));
-            self.weigh(key.server(), now);
+            if let Some(server) = key.server() {
+                self.weigh(server, now);
+            }
         }
         news
     }
@@ -523,11 +553,9 @@
             return;
         };
         let ReplicaConfig { me, epoch, .. } = self.config;
-        let listed = self.listed.get(&key.server()) == Some(&server_epoch);
-        if author_epoch != epoch
-            || key != (Key::Evidence { server: key.server(), author: me })
-            || !listed
-        {
+        let Key::Evidence { server, author } = key else { return };
+        let listed = self.listed.get(&server) == Some(&server_epoch);
+        if author_epoch != epoch || author != me || !listed {
             return;
         }
         let held = self.store.get(key, now).map(|mine| mine.word);
--- a/crates/millethook-replica/src/store.rs
+++ b/crates/millethook-replica/src/store.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::collections::BTreeMap;
 
+use millethook_lease::Token;
 use millethook_machine::hash::mix;
 
 use crate::entry::{Entry, Key};
@@ -13,6 +14,9 @@
 pub const MOST_EVIDENCE: usize = 2048;
 /// Departures at most; of more the oldest go first.
 pub const MOST_DEPARTURES: usize = 1024;
+/// Jobs with an owner at most, and stores that are replayed.
+pub const MOST_JOBS: usize = 512;
+pub const MOST_EDGES: usize = 1024;
 /// Hashes leave out what goes soon: copies do not lose an entry at the same time.
 const FADES: Micros = 500_000;
 
@@ -33,7 +37,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Store {
     entries: BTreeMap<Key, Held>,
-    evidence: usize,
+    /// Entries by kind.
+    counts: [usize; 4],
     /// Entries that had to go for newer ones.
     pub crowded_out: u64,
     /// The hashes, and until when they hold if nothing changes.
@@ -59,6 +64,15 @@
         self.entries.keys().filter_map(move |key| Some((*key, self.get(*key, now)?)))
     }
 
+    /// Those of a range of keys that are not too old.
+    pub fn range(
+        &self,
+        keys: std::ops::RangeInclusive<Key>,
+        now: Micros,
+    ) -> impl Iterator<Item = (Key, Entry)> {
+        self.entries.range(keys).filter_map(move |(key, _)| Some((*key, self.get(*key, now)?)))
+    }
+
     /// Evidence on a server.
     pub fn evidence(&self, server: u64, now: Micros) -> impl Iterator<Item = (u16, Word)> {
         let all = Key::Evidence { server, author: 0 }..=Key::Evidence { server, author: u16::MAX };
@@ -87,17 +101,14 @@
         self.make_room(key, now);
         self.hashes.set(None);
         self.entries.insert(key, Held { entry: *entry, at: now });
-        self.evidence += usize::from(matches!(key, Key::Evidence { .. }));
+        self.counts[kind(key)] += 1;
         true
     }
 
     fn make_room(&mut self, key: Key, now: Micros) {
         let alike = |k: &Key| std::mem::discriminant(k) == std::mem::discriminant(&key);
-        let full = match key {
-            Key::Evidence { .. } => self.evidence >= MOST_EVIDENCE,
-            Key::Departure { .. } => self.entries.len() - self.evidence >= MOST_DEPARTURES,
-        };
-        if !full {
+        let most = [MOST_EVIDENCE, MOST_DEPARTURES, MOST_JOBS, MOST_EDGES];
+        if self.counts[kind(key)] < most[kind(key)] {
             return;
         }
         // Room for a sixteenth is made at once, so that a flood does not cost a search for each entry.
@@ -112,8 +123,8 @@
 
     fn remove(&mut self, key: Key) {
         self.hashes.set(None);
-        if self.entries.remove(&key).is_some() && matches!(key, Key::Evidence { .. }) {
-            self.evidence -= 1;
+        if self.entries.remove(&key).is_some() {
+            self.counts[kind(key)] -= 1;
         }
     }
 
@@ -124,7 +135,7 @@
             .map(|(key, _)| *key)
             .collect();
         old.iter().for_each(|key| self.remove(*key));
-        old.into_iter().map(Key::server).collect()
+        old.into_iter().filter_map(Key::server).collect()
     }
 
     /// When the next entry is too old.
@@ -157,11 +168,22 @@
     }
 }
 
+fn kind(key: Key) -> usize {
+    match key {
+        Key::Evidence { .. } => 0,
+        Key::Departure { .. } => 1,
+        Key::Job { .. } => 2,
+        Key::Edge { .. } => 3,
+    }
+}
+
 /// In which range a key is.
 pub(crate) fn range_of(key: Key) -> usize {
     let number = match key {
         Key::Evidence { server, author } => mix(server ^ mix(u64::from(author) + 1)),
         Key::Departure { server } => mix(server),
+        Key::Job { job } => mix(job ^ 0x10b),
+        Key::Edge { edge } => mix(edge ^ 0xed9e),
     };
     (number >> 32) as usize % RANGES
 }
@@ -170,6 +192,8 @@
     let key = match key {
         Key::Evidence { server, author } => mix(server) ^ u64::from(author),
         Key::Departure { server } => !mix(server),
+        Key::Job { job } => mix(job ^ 0x10b),
+        Key::Edge { edge } => mix(edge ^ 0xed9e),
     };
     match *word {
         Word::Evidence { author_epoch, counter, .. } => {
@@ -178,5 +202,13 @@
         Word::Departure { server_epoch, departure } => {
             mix(key ^ mix(server_epoch << 2 ^ departure as u64))
         }
+        Word::Job { token, said } => mix(key ^ of_token(token) ^ mix(u64::from(said))),
+        Word::Edge { token, upto, beyond, left } => {
+            mix(key ^ of_token(token) ^ mix(upto ^ mix(beyond ^ u64::from(left) << 48)))
+        }
     }
 }
+
+fn of_token(token: Token) -> u64 {
+    mix(token.epoch << 16 ^ u64::from(token.owner) ^ mix(u64::from(token.counter)))
+}
--- a/crates/millethook-replica/tests/laws.rs
+++ b/crates/millethook-replica/tests/laws.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use common::{BORN, S, Sim};
+use millethook_lease::Token;
 use millethook_replica::{Departure, Entry, Key, Replica, ReplicaConfig, Seen, Verdict, Word};
 use proptest::prelude::*;
 
@@ -25,6 +26,24 @@
     })
 }
 
+fn token() -> impl Strategy<Value = Token> {
+    let part = (0u64..3, 0u32..3, 0u16..2);
+    part.prop_map(|(epoch, counter, owner)| Token { epoch, counter, owner })
+}
+
+fn job() -> impl Strategy<Value = Entry> {
+    let part = (token(), 0u16..4, 0u64..3);
+    part.prop_map(|(token, said, age)| Entry { word: Word::Job { token, said }, age })
+}
+
+fn edge() -> impl Strategy<Value = Entry> {
+    let part = (token(), 0u64..4, 0u64..4, 0u16..2, 0u64..3);
+    part.prop_map(|(token, upto, beyond, left, age)| Entry {
+        word: Word::Edge { token, upto, beyond, left },
+        age,
+    })
+}
+
 fn joined(a: Entry, b: Entry) -> Entry {
     let mut joined = a;
     joined.join(&b);
@@ -45,6 +64,7 @@
     let epoch = |e: Entry| match e.word {
         Word::Evidence { author_epoch, .. } => author_epoch,
         Word::Departure { server_epoch, .. } => server_epoch,
+        Word::Job { token, .. } | Word::Edge { token, .. } => token.epoch,
     };
     if epoch(late) > epoch(early) {
         prop_assert_eq!(joined(early, late).word, late.word);
@@ -66,6 +86,12 @@
         restart_counts(a, b)?;
     }
 
+    #[test]
+    fn what_goes_by_a_token_joins_by_law((a, b, c) in prop_oneof![(job(), job(), job()), (edge(), edge(), edge())]) {
+        laws(a, b, c)?;
+        restart_counts(a, b)?;
+    }
+
     /// Whatever comes, a replica takes no harm, answers with no more bytes than came, and stays bounded.
     #[test]
     fn no_content_crashes_a_replica_or_is_answered_by_more(
--- a/crates/plankvale/src/lib.rs
+++ b/crates/plankvale/src/lib.rs
@@ -193,6 +193,7 @@
             ("[membership]", a.membership != b.membership),
             ("[connections]", a.connections != b.connections),
             ("[fleet]", a.fleet != b.fleet),
+            ("[lease]", a.lease != b.lease),
         ];
         differs.into_iter().filter_map(|(key, differs)| differs.then_some(key)).collect()
     }
--- a/crates/plankvale/src/operated.rs
+++ b/crates/plankvale/src/operated.rs
@@ -40,6 +40,20 @@
         lines.count("fleet.evidence.crowded_out", replica.crowded_out);
         lines.count("fleet.evidence.not_believed", replica.malformed);
     }
+    if let Some((lease, changing)) = fleet.leases() {
+        lines.gauge("lease.owned", lease.owned);
+        lines.gauge("lease.wanted", lease.wanted);
+        lines.gauge("lease.granting", lease.granting);
+        lines.gauge("lease.changing", usize::from(changing));
+        for (job, token) in fleet.owned() {
+            lines.gauge(format_args!("lease.job.{:016x}.{token}", job.0), 1);
+        }
+        lines.count("lease.granted", lease.granted);
+        lines.count("lease.lost", lease.lost);
+        lines.count("lease.failed", lease.failed);
+        lines.count("lease.strangers", lease.strangers);
+        lines.count("lease.malformed", lease.malformed);
+    }
     lines.count("fleet.foreign", dropped.foreign);
     lines.count("fleet.misnamed", dropped.misnamed);
 }
