--- a/crates/millethook-config/src/lib.rs
+++ b/crates/millethook-config/src/lib.rs
@@ -32,6 +32,8 @@
     pub fleet: Option<Fleet>,
     /// `[lease]`
     pub lease: Option<Lease>,
+    /// `[edge]`
+    pub edge: Option<Edge>,
 }
 
 /// How log lines are written.
@@ -146,6 +148,31 @@
     pub dead_servers: bool,
 }
 
+/// Writes that are kept while no server can be reached. Needs `[lease]`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Edge {
+    /// Where stores are; sidecars of one host may share it.
+    pub folder: PathBuf,
+    /// Classes whose writes may be kept.
+    pub classes: Vec<String>,
+    /// Megabytes that one process keeps at most.
+    pub most_mb: usize,
+    /// Writes without an end that it keeps at most.
+    pub most_writes: usize,
+    /// What is kept for longer has expired.
+    pub keep: Duration,
+    /// For so long a write waits for one that it comes after.
+    pub forerunner: Duration,
+    /// Whether one whose forerunner failed, or never came, goes all the same.
+    pub go_on: bool,
+    /// Writes of one store that are out at once.
+    pub at_once: usize,
+    /// Writes a second that all stores of the fleet send together, at most.
+    pub fleet_per_second: f64,
+    /// A disk that is busy for longer is slow.
+    pub slow: Duration,
+}
+
 /// One thing that is wrong with a file.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fault {
@@ -288,6 +315,33 @@
                 dead_servers: r.flag("dead_servers").unwrap_or(false),
             });
         });
+        r.section("edge", |r| {
+            let seconds = |r: &mut Reader<'_>, key: &str, usual: f64, least: f64, most: f64| {
+                Duration::from_secs_f64(r.number(key, least..=most, "seconds").unwrap_or(usual))
+            };
+            let after = r.word("after_failed", &["apart", "go_on"]);
+            let folder = r.string("folder", "a path");
+            if folder.is_none() {
+                r.fault_at("edge", "folder", "a path expected".into());
+            }
+            product.edge = Some(Edge {
+                folder: folder.unwrap_or_default().into(),
+                classes: r.names("classes"),
+                most_mb: r.count("most_mb", 1..=65_536).unwrap_or(64),
+                most_writes: r.count("most_writes", 1..=1_000_000).unwrap_or(20_000),
+                keep: seconds(r, "keep_s", 86_400.0, 1.0, 2_592_000.0),
+                forerunner: seconds(r, "forerunner_s", 60.0, 1.0, 86_400.0),
+                go_on: after.as_deref() == Some("go_on"),
+                at_once: r.count("at_once", 1..=256).unwrap_or(4),
+                fleet_per_second: r
+                    .number("fleet_per_second", 0.1..=100_000.0, "writes")
+                    .unwrap_or(1_000.0),
+                slow: seconds(r, "slow_s", 0.1, 0.001, 10.0),
+            });
+        });
+        if product.edge.is_some() && product.lease.is_none() {
+            r.fault_at("edge", "", "a section [lease] expected beside it".into());
+        }
         let shares = product.fleet.as_ref().map(|fleet| fleet.share_evidence);
         if product.lease.is_some() && shares.is_none() {
             r.fault_at("lease", "", "a section [fleet] expected beside it".into());
--- a/crates/millethook-config/src/reader.rs
+++ b/crates/millethook-config/src/reader.rs
@@ -94,6 +94,26 @@
         self.string_that(key, &quoted.join(" or "), |text| words.contains(&text))
     }
 
+    /// A list of names; at least one.
+    pub fn names(&mut self, key: &str) -> Vec<String> {
+        let names = |v: &DeValue<'t>| {
+            let names: Option<Vec<String>> =
+                v.as_array()?.iter().map(|v| v.get_ref().as_str().map(str::to_owned)).collect();
+            names.filter(|names| !names.is_empty() && names.iter().all(|name| !name.is_empty()))
+        };
+        match self.value(key, "a list of names", names) {
+            Some(names) => names,
+            None => {
+                let (section, known) =
+                    (self.section.0.clone(), self.places.iter().any(|p| p.1 == key));
+                if !known {
+                    self.fault_at(&section, key, "a list of names expected".into());
+                }
+                Vec::new()
+            }
+        }
+    }
+
     pub fn flag(&mut self, key: &str) -> Option<bool> {
         self.value(key, "true or false", |v| v.as_bool())
     }
--- a/crates/millethook-config/tests/file.rs
+++ b/crates/millethook-config/tests/file.rs
@@ -128,3 +128,20 @@
     let wide = faults(&format!("{fleet}[lease]\ndrift = 0.5"));
     assert_eq!(wide, ["line 4: lease.drift: a share from 0 to 0.2 expected, not 0.5"]);
 }
+
+#[test]
+fn kept_writes_need_a_folder_classes_and_leases() {
+    let rest = "[fleet]\n[lease]\n[edge]\n";
+    let whole = format!("{rest}folder = \"/var/edge\"\nclasses = [\"log-upload\"]\n");
+    let product = Product::from_toml(&whole).expect("sound");
+    assert_eq!(product.edge.map(|e| e.classes), Some(vec!["log-upload".to_owned()]));
+    let lacking = faults(rest);
+    assert_eq!(
+        lacking,
+        ["line 1: edge.folder: a path expected", "line 1: edge.classes: a list of names expected"]
+    );
+    let alone = faults("[edge]\nfolder = \"/var/edge\"\nclasses = [\"a\"]");
+    assert_eq!(alone, ["line 1: edge: a section [lease] expected beside it"]);
+    let wrong = faults(&format!("{whole}after_failed = \"perhaps\"\nat_once = 0"));
+    assert_eq!(wrong.len(), 2, "{wrong:?}");
+}
--- /dev/null
+++ b/crates/millethook-edge/src/book.rs
@@ -0,0 +1,320 @@
+//! What is known of one store: each write that it holds, and how far that has come. Built from the store's files, and
+//! kept in step with what is written to them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use millethook_lease::Token;
+use smallvec::SmallVec;
+
+use crate::log::Item;
+use crate::mutant::{self, Mutant};
+use crate::record::{End, HostTime, Record, Repeat};
+use crate::{EdgeId, WriteId};
+
+/// How far a write has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// It has never gone out.
+    Kept,
+    /// It is marked as out under this token, and nothing is known of its end.
+    Out(Token),
+    /// It may have run, and a repeat does no harm.
+    Again,
+    /// It may have run, and only somebody who knows can say.
+    Doubt,
+    /// It has ended.
+    Ended(End),
+}
+
+/// One write.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// Where its record's body is in the file, and how long: bodies are read when they are sent.
+    pub at: (u64, u32),
+    /// Unix time at which it was kept, in milliseconds.
+    pub kept_ms: u64,
+    /// Its class, by its place in [`Book::classes`].
+    pub class: u16,
+    /// What a repeat does.
+    pub repeat: Repeat,
+    /// What it comes after: what its client named, and its member's last write before it.
+    pub after: SmallVec<[WriteId; 2]>,
+    /// How far it has come.
+    pub state: State,
+    /// When it first went out, unless it is known not to have run since.
+    pub first_out: Option<HostTime>,
+    /// It went out before and may have run then.
+    pub touched: bool,
+    /// Whose mark nobody answers for: that owner may still come to say what became of it.
+    pub unsure: Option<Token>,
+    /// It goes, or went, without waiting for one that never came.
+    pub forsook: bool,
+}
+
+impl Entry {
+    /// It is out no more, and has no end.
+    fn came_back(&mut self) {
+        let may_have_run = self.touched || self.unsure.is_some();
+        self.state = match (may_have_run, self.repeat) {
+            (false, _) => State::Kept,
+            (true, Repeat::Within { .. }) => State::Again,
+            (true, Repeat::Never) if mutant::is(Mutant::AlwaysAgain) => State::Again,
+            (true, Repeat::Never) => State::Doubt,
+        };
+        if !may_have_run {
+            self.first_out = None;
+        }
+    }
+
+    /// An owner that is followed has left a mark, and no word.
+    fn left_by(&mut self, owner: Token) {
+        self.touched |= self.unsure.is_some();
+        self.unsure = Some(owner);
+    }
+}
+
+/// How many writes are what.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Kept, and not known to have gone out.
+    pub kept: usize,
+    /// Out, or to be repeated.
+    pub out: usize,
+    /// In doubt.
+    pub doubt: usize,
+    /// Served.
+    pub done: usize,
+    /// Ended otherwise.
+    pub aside: usize,
+    /// Records, or parts of files, that are spoilt.
+    pub damaged: usize,
+}
+
+/// All writes of a store.
+#[derive(Clone, Debug)]
+pub struct Book {
+    /// The store.
+    pub edge: EdgeId,
+    /// Names of classes.
+    pub classes: Vec<String>,
+    pub(crate) entries: BTreeMap<u64, Entry>,
+    /// Each member's last write.
+    members: BTreeMap<u64, u64>,
+    /// Writes that have not ended, those that are to be sent among them.
+    pub(crate) open: BTreeSet<u64>,
+    /// Marks, ends and words that came before their write did: files are read one after another.
+    early: Vec<(u64, Record)>,
+    /// Spoilt parts of files: where, how many bytes, which write each was about, if that is known, and whether it may
+    /// have been a mark.
+    pub damaged: Vec<(u64, u64, Option<u64>, bool)>,
+    pub(crate) counts: Counts,
+}
+
+/// Records ahead of their write that are held, at most: one whose write is spoilt never gets one.
+const MOST_EARLY: usize = 65_536;
+
+impl Book {
+    /// An empty one.
+    pub fn new(edge: EdgeId) -> Book {
+        Book {
+            edge,
+            classes: Vec::new(),
+            entries: BTreeMap::new(),
+            members: BTreeMap::new(),
+            open: BTreeSet::new(),
+            early: Vec::new(),
+            damaged: Vec::new(),
+            counts: Counts::default(),
+        }
+    }
+
+    /// A write.
+    pub fn entry(&self, seq: u64) -> Option<&Entry> {
+        self.entries.get(&seq)
+    }
+
+    /// All writes, by number.
+    pub fn entries(&self) -> impl Iterator<Item = (u64, &Entry)> {
+        self.entries.iter().map(|(seq, entry)| (*seq, entry))
+    }
+
+    /// How many are what.
+    pub fn counts(&self) -> Counts {
+        let mut counts = self.counts;
+        counts.damaged = self.damaged.len();
+        for seq in &self.open {
+            match self.entries[seq].state {
+                State::Kept => counts.kept += 1,
+                State::Out(_) | State::Again => counts.out += 1,
+                State::Doubt => counts.doubt += 1,
+                State::Ended(_) => {}
+            }
+        }
+        counts
+    }
+
+    /// How many have no end.
+    pub fn left(&self) -> usize {
+        self.open.len()
+    }
+
+    /// The time at which the oldest without an end was kept.
+    pub fn oldest_ms(&self) -> Option<u64> {
+        self.open.iter().next().map(|seq| self.entries[seq].kept_ms)
+    }
+
+    /// The last write of a member, if that has no end yet.
+    pub fn last_of(&self, member: u64) -> Option<u64> {
+        let last = self.members.get(&member).copied().filter(|_| member != 0)?;
+        self.open.contains(&last).then_some(last)
+    }
+
+    /// All up to this number have ended, and of the 64 behind those whose bit is set. A write whose record is spoilt is
+    /// nowhere, and counts as ended: what becomes of it nobody can say.
+    pub fn watermark(&self) -> (u64, u64) {
+        let last = self.entries.last_key_value().map_or(0, |(seq, _)| *seq);
+        let upto = self.open.first().map_or(last, |first| first - 1);
+        let ended = |n: &u64| upto + 1 + n <= last && !self.open.contains(&(upto + 1 + n));
+        let beyond = (0..64).filter(ended).fold(0, |bits, n| bits | 1 << n);
+        (upto, beyond)
+    }
+
+    /// Takes in an item of a file; `marks`: of one that holds marks.
+    pub fn take(&mut self, item: &Item, marks: bool) {
+        match item {
+            Item::Record { seq, at, length, record } => self.apply(*seq, (*at, *length), record),
+            Item::Damaged { at, length, seq } => self.damaged.push((*at, *length, *seq, marks)),
+            // It was never on disk as a whole, so nothing was made to hang on it.
+            Item::Torn { .. } => {}
+        }
+    }
+
+    /// Takes in a record.
+    pub fn apply(&mut self, seq: u64, at: (u64, u32), record: &Record) {
+        if let Record::Write(write) = record {
+            if self.entries.contains_key(&seq) {
+                return;
+            }
+            let class = self.class(&write.class);
+            let mut after: SmallVec<[WriteId; 2]> = SmallVec::from_slice(&write.after);
+            if write.member != 0
+                && let Some(last) = self.members.insert(write.member, seq)
+            {
+                after.push(WriteId { edge: self.edge, seq: last });
+            }
+            let (kept_ms, repeat) = (write.at_ms, write.repeat);
+            let state = State::Kept;
+            self.entries.insert(
+                seq,
+                Entry {
+                    at,
+                    kept_ms,
+                    class,
+                    repeat,
+                    after,
+                    state,
+                    first_out: None,
+                    touched: false,
+                    unsure: None,
+                    forsook: false,
+                },
+            );
+            self.open.insert(seq);
+            let (mine, rest) =
+                std::mem::take(&mut self.early).into_iter().partition(|e| e.0 == seq);
+            self.early = rest;
+            let mine: Vec<(u64, Record)> = mine;
+            mine.iter().for_each(|(seq, record)| self.apply(*seq, (0, 0), record));
+            return;
+        }
+        let Some(entry) = self.entries.get_mut(&seq) else {
+            if self.early.len() < MOST_EARLY {
+                self.early.push((seq, record.clone()));
+            }
+            return;
+        };
+        if let State::Ended(_) = entry.state {
+            return;
+        }
+        match record {
+            Record::Write(_) => {}
+            Record::Mark { by, at } => {
+                // Danger: the owner before this one was not heard of again. If only this mark's end counted, one that is
+                // known not to have run would look as if it had never gone out.
+                if let State::Out(before) = entry.state {
+                    entry.left_by(before);
+                }
+
+                entry.state = State::Out((*by).into());
+                entry.first_out.get_or_insert(*at);
+            }
+            // Only whose mark it was knows; another mark may stand by now.
+            Record::NotRun { by } if entry.state == State::Out((*by).into()) => entry.came_back(),
+            Record::MayHaveRun { by } if entry.state == State::Out((*by).into()) => {
+                entry.touched = true;
+                entry.came_back();
+            }
+            // An owner that was followed has come to say so.
+            Record::NotRun { by } if entry.unsure == Some((*by).into()) => {
+                entry.unsure = None;
+                if matches!(entry.state, State::Again | State::Doubt) {
+                    entry.came_back();
+                }
+            }
+            Record::MayHaveRun { by } if entry.unsure == Some((*by).into()) => {
+                (entry.unsure, entry.touched) = (None, true);
+            }
+            Record::NotRun { .. } | Record::MayHaveRun { .. } => {}
+            Record::Release => {
+                (entry.touched, entry.unsure) = (false, None);
+
+                entry.came_back();
+            }
+            Record::End { how, .. } => {
+                entry.state = State::Ended(*how);
+                self.open.remove(&seq);
+                let done = *how == End::Done;
+                self.counts.done += usize::from(done);
+                self.counts.aside += usize::from(!done);
+            }
+        }
+    }
+
+    fn class(&mut self, name: &str) -> u16 {
+        let known = self.classes.iter().position(|class| class == name);
+        // Classes are a handful; of more than fit the last name stands for all.
+        known.unwrap_or_else(|| {
+            if self.classes.len() < usize::from(u16::MAX) {
+                self.classes.push(name.to_owned());
+            }
+            self.classes.len() - 1
+        }) as u16
+    }
+
+    /// What earlier owners have marked has gone out, for all that is known: nobody answers for it any more.
+    pub(crate) fn take_over(&mut self, me: Token) {
+        for seq in &self.open {
+            let Some(entry) = self.entries.get_mut(seq) else { continue };
+            if let State::Out(by) = entry.state
+                && by != me
+            {
+                if !mutant::is(Mutant::MarksForgotten) {
+                    entry.left_by(by);
+                }
+                entry.came_back();
+            }
+        }
+        // Danger: a spoilt record may have been a mark. Which write it was about its head may tell; where it does
+        // not, it may be any that was kept by then.
+        let lost: Vec<Option<u64>> = self.damaged.iter().filter(|d| d.3).map(|d| d.2).collect();
+        let doubt = |seq: &u64| lost.iter().any(|about| about.is_none_or(|about| about == *seq));
+        for seq in self.open.iter().filter(|seq| doubt(seq)) {
+            let Some(entry) = self.entries.get_mut(seq) else { continue };
+            if entry.state == State::Kept {
+                // When it went out nobody knows, so that no repeat is in time either.
+                entry.touched = true;
+                entry.came_back();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/millethook-edge/src/id.rs
@@ -0,0 +1,79 @@
+//! The names of stores and of writes.
+
+use serde::{Deserialize, Serialize};
+
+/// A store: one process' own, so that nobody else ever appends to it.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct EdgeId(pub u64);
+
+impl EdgeId {
+    /// That of a process: its number in the fleet and its epoch, of which 48 bits count.
+    pub fn new(number: u16, epoch: u64) -> EdgeId {
+        EdgeId(u64::from(number) << 48 | epoch & 0xffff_ffff_ffff)
+    }
+
+    /// The number of the sidecar whose store it is.
+    pub fn number(self) -> u16 {
+        (self.0 >> 48) as u16
+    }
+}
+
+impl std::fmt::Display for EdgeId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// What was expected of an id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NotAnId;
+
+impl std::fmt::Display for NotAnId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(
+            "16 hexadecimal digits of a store expected, and for a write a dash and its number",
+        )
+    }
+}
+
+impl std::error::Error for NotAnId {}
+
+impl std::str::FromStr for EdgeId {
+    type Err = NotAnId;
+
+    fn from_str(text: &str) -> Result<EdgeId, NotAnId> {
+        let digits = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
+        let id = u64::from_str_radix(text, 16).ok().filter(|_| digits);
+        id.map(EdgeId).ok_or(NotAnId)
+    }
+}
+
+/// A write that is kept: its store, and its number there, from 1 on.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct WriteId {
+    /// The store.
+    pub edge: EdgeId,
+    /// Its number there.
+    pub seq: u64,
+}
+
+impl std::fmt::Display for WriteId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}-{:x}", self.edge, self.seq)
+    }
+}
+
+impl std::str::FromStr for WriteId {
+    type Err = NotAnId;
+
+    fn from_str(text: &str) -> Result<WriteId, NotAnId> {
+        let (edge, seq) = text.split_once('-').ok_or(NotAnId)?;
+        let digits = (1..=16).contains(&seq.len()) && seq.bytes().all(|b| b.is_ascii_hexdigit());
+        let seq = u64::from_str_radix(seq, 16).ok().filter(|seq| digits && *seq > 0);
+        Ok(WriteId { edge: edge.parse()?, seq: seq.ok_or(NotAnId)? })
+    }
+}
--- /dev/null
+++ b/crates/millethook-edge/tests/search.rs
@@ -0,0 +1,41 @@
+//! Random load and random faults: no acknowledged write lost, none twice, none out of order.
+
+mod common;
+
+use common::{play, script};
+use proptest::prelude::*;
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 60, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn nothing_is_lost_doubled_or_out_of_order(seed: u64, script in script(50, false)) {
+        play(seed, &script).map_err(TestCaseError::fail)?;
+    }
+
+    #[test]
+    fn bits_that_flip_double_nothing(seed: u64, script in script(50, true)) {
+        play(seed, &script).map_err(TestCaseError::fail)?;
+    }
+}
+
+/// Each rule that is taken out is missed by the same search.
+#[cfg(feature = "mutants")]
+#[test]
+fn each_missing_rule_is_found() {
+    use millethook_edge::mutant::{Mutant, become_mutant};
+    use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+    for mutant in Mutant::ALL {
+        become_mutant(Some(*mutant));
+        let config = Config { cases: 10_000, failure_persistence: None, ..Config::default() };
+        let random = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+        let mut runner = TestRunner::new_with_rng(config, random);
+        let found = runner.run(&(any::<u64>(), script(50, true)), |(seed, script)| {
+            play(seed, &script).map(drop).map_err(TestCaseError::fail)
+        });
+        become_mutant(None);
+        let found = found.expect_err(&format!("{mutant:?} is not missed"));
+        println!("{mutant:?}: {found}");
+    }
+}
--- a/crates/millethook-engine/src/driver/attempts.rs
+++ b/crates/millethook-engine/src/driver/attempts.rs
@@ -40,6 +40,7 @@
             return self.moot(id, n, server);
         };
         let wait = Duration::from_micros(wait);
+        self.reach.borrow_mut().sent(server, Instant::now());
         if let Some(fleet) = self.fleet.get() {
             fleet.sends_to(server);
         }
@@ -180,6 +181,13 @@
         report: LoadReport,
         answer: Option<(Head, Bytes)>,
     ) {
+        match outcome {
+            Outcome::Served | Outcome::Error | Outcome::Full => self.reach.borrow_mut().heard(),
+            Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => {
+                self.reach.borrow_mut().failed(server, Instant::now());
+            }
+            Outcome::Cancelled | Outcome::Moot => {}
+        }
         let mut finished = true;
         if let Some(request) = self.core.borrow_mut().requests.get_mut(&id) {
             if let Some(out) = request.attempts.get_mut(attempt) {
--- a/crates/millethook-engine/src/driver/mod.rs
+++ b/crates/millethook-engine/src/driver/mod.rs
@@ -4,6 +4,7 @@
 
 mod attempts;
 mod membership;
+mod reach;
 mod request;
 mod timers;
 
@@ -18,7 +19,7 @@
 };
 use coppercart::decide::Balancer;
 use coppercart::decide::view::ServerCounts;
-use coppercart::settings::{ReportHow, Settings};
+use coppercart::settings::{Class, ReportHow, Settings};
 use millethook_connect::pool::{Counts, Ended};
 use rustc_hash::FxHashMap;
 use tokio::sync::{Notify, mpsc, oneshot};
@@ -31,6 +32,7 @@
 use crate::news::PeerSender;
 use crate::upstream::{AttemptRequest, Calls, Upstream};
 
+use reach::Reach;
 use request::Pending;
 pub use request::{Reply, RequestHead, StreamingReply, Ticket};
 use timers::Timers;
@@ -40,6 +42,9 @@
 const MARGIN: Duration = Duration::from_millis(5);
 const MARGIN_SHARE: u32 = 20;
 
+/// How long a server has for a connection that only tells whether it is there.
+const TRIAL: Duration = Duration::from_millis(500);
+
 struct Core {
     balancer: Balancer,
     requests: FxHashMap<RequestId, Pending>,
@@ -58,6 +63,7 @@
     peers: Option<Rc<dyn PeerSender>>,
     /// The other sidecars, where evidence is shared with them.
     fleet: OnceCell<Rc<Fleet>>,
+    reach: RefCell<Reach>,
     probe_reports: bool,
     /// Room for actions, kept between events.
     actions: Cell<Vec<Action>>,
@@ -113,6 +119,7 @@
             discovery,
             peers,
             fleet: OnceCell::new(),
+            reach: RefCell::default(),
             probe_reports,
             actions: Cell::default(),
             timers: Timers::default(),
@@ -272,6 +279,47 @@
         self.core.borrow().balancer.server_counts()
     }
 
+    /// The class at this place of the settings.
+    pub fn class(&self, place: usize) -> Option<Class> {
+        self.core.borrow().balancer.settings().classes.get(place).cloned()
+    }
+
+    /// Whether clients that are refused are told when to come back.
+    pub fn tells_when(&self) -> bool {
+        self.core.borrow().balancer.settings().limits.retry_after
+    }
+
+    /// The longest deadline of a class in force.
+    pub fn longest_deadline(&self) -> Duration {
+        let longest = self.core.borrow().balancer.settings().longest(|c| c.deadline);
+        Duration::from_micros(longest)
+    }
+
+    /// Whether no server can be reached, for all that is known here. Once that is so it stays so until one answers
+    /// or takes a connection ([`Driver::try_any`]).
+    pub fn is_isolated(&self) -> bool {
+        let core = self.core.borrow();
+        let patience = Duration::from_micros(core.balancer.settings().longest(|c| c.aim));
+        self.reach.borrow_mut().is_isolated(Instant::now(), core.servers.len(), patience)
+    }
+
+    /// Tries whether one server takes a connection, the `nth` of those that are listed; nothing is sent on it.
+    pub async fn try_any(&self, nth: usize) -> bool {
+        let dial = {
+            let core = self.core.borrow();
+            let mut dials: Vec<SocketAddr> = core.servers.values().copied().collect();
+            dials.sort_unstable();
+            (!dials.is_empty()).then(|| dials[nth % dials.len()])
+        };
+        let Some(dial) = dial else { return false };
+        let connected = tokio::time::timeout(TRIAL, tokio::net::TcpStream::connect(dial)).await;
+        let well = matches!(connected, Ok(Ok(_)));
+        if well {
+            self.reach.borrow_mut().heard();
+        }
+        well
+    }
+
     /// Requests that are taken and have no end yet.
     pub fn outstanding(&self) -> usize {
         self.core.borrow().requests.values().filter(|r| !r.ended()).count()
--- a/crates/millethook-engine/src/evidence.rs
+++ b/crates/millethook-engine/src/evidence.rs
@@ -55,6 +55,25 @@
         self.replica.borrow_mut().own(now, Key::Job { job: job.0 }, Word::Job { token, said });
     }
 
+    /// Tells the fleet how far a store of kept writes has been replayed. False: a higher token is known.
+    pub fn say_edge(&self, now: Micros, edge: u64, word: Word) -> bool {
+        self.replica.borrow_mut().own(now, Key::Edge { edge }, word)
+    }
+
+    /// How far a store has been replayed: all up to the number, and of the 64 behind it those whose bit is set.
+    pub fn edge(&self, now: Micros, edge: u64) -> Option<(u64, u64)> {
+        match self.replica.borrow().get(now, Key::Edge { edge })?.word {
+            Word::Edge { upto, beyond, .. } => Some((upto, beyond)),
+            _ => None,
+        }
+    }
+
+    /// Stores of the fleet that hold writes without an end.
+    pub fn edges_left(&self, now: Micros) -> usize {
+        let replica = self.replica.borrow();
+        replica.edges(now).filter(|(_, w)| matches!(w, Word::Edge { left: 1.., .. })).count()
+    }
+
     /// The decisions are told once more that a server is doubted. Nothing may be borrowed meanwhile.
     pub fn hold(&self, server: ServerId) {
         if let Some(sink) = self.sink.borrow().as_deref() {
--- a/crates/millethook-engine/src/fleet.rs
+++ b/crates/millethook-engine/src/fleet.rs
@@ -311,6 +311,68 @@
         self.leases.as_ref().map(|leases| leases.figures(self.now()))
     }
 
+    /// Wants a job of the fleet for so long at a time, and asks for it after a wait. False: there are no leases.
+    pub fn want(&self, job: JobId, length: Duration, wait: Duration) -> bool {
+        let wanted = self.leases.as_ref().is_some_and(|leases| {
+            let micros = |d: Duration| d.as_micros() as Micros;
+            leases.want(self.now(), job, micros(length), micros(wait))
+        });
+        self.wake.notify_one();
+        wanted
+    }
+
+    /// Does not want a job any more.
+    pub fn give_up(&self, job: JobId) {
+        if let Some(leases) = &self.leases {
+            leases.give_up(self.now(), job);
+            self.wake.notify_one();
+        }
+    }
+
+    /// The token under which this sidecar owns a job in this instant: the last look before an effect.
+    pub fn holds(&self, job: JobId) -> Option<Token> {
+        self.leases.as_ref()?.holds(self.now(), job)
+    }
+
+    /// Something that keeps tokens knows this one: the next claim goes above it.
+    pub fn heard(&self, job: JobId, token: Token) {
+        if let Some(leases) = &self.leases {
+            leases.heard(job, token);
+        }
+    }
+
+    /// Tells the fleet how far a store of kept writes has been replayed; see `millethook_replica::Word::Edge`.
+    pub fn say_edge(
+        &self,
+        edge: u64,
+        token: Token,
+        (upto, beyond): (u64, u64),
+        left: usize,
+    ) -> bool {
+        let left = left.min(usize::from(u16::MAX)) as u16;
+        let word = millethook_replica::Word::Edge { token, upto, beyond, left };
+        let said = self.evidence.as_ref().is_some_and(|e| e.say_edge(self.now(), edge, word));
+        self.wake.notify_one();
+        said
+    }
+
+    /// How far a store has been replayed, by what was told of it: all up to a number, and of the 64 behind it those
+    /// whose bit is set.
+    pub fn edge(&self, edge: u64) -> Option<(u64, u64)> {
+        self.evidence.as_ref()?.edge(self.now(), edge)
+    }
+
+    /// Stores of the fleet that hold writes without an end.
+    pub fn edges_left(&self) -> usize {
+        self.evidence.as_ref().map_or(0, |e| e.edges_left(self.now()))
+    }
+
+    /// The number and the epoch of this process, as the view has them.
+    pub fn process(&self) -> (u16, u64) {
+        let view = self.view.borrow();
+        (view.me(), view.epoch())
+    }
+
     /// Jobs that this sidecar owns, with their tokens, at most 64 of them.
     pub fn owned(&self) -> Vec<(JobId, Token)> {
         self.leases.as_ref().map_or(Vec::new(), |leases| leases.owned(self.now()))
--- a/crates/millethook-engine/src/leases.rs
+++ b/crates/millethook-engine/src/leases.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use coppercart::api::{Micros, ServerId, Standing};
-use millethook_lease::{Config, Event, Figures, JobId, Lease, Member, Members, Token};
+use millethook_lease::{Config, Event, Figures, Lease, Member, Members};
+pub use millethook_lease::{JobId, Token};
 use millethook_machine::hash::mix;
 use millethook_view::{Status, View};
 
@@ -132,6 +133,26 @@
         }
     }
 
+    /// Wants a job; see [`Lease::want`].
+    pub fn want(&self, now: Micros, job: JobId, length: Micros, wait: Micros) -> bool {
+        self.lease.borrow_mut().want(now, job, length, wait)
+    }
+
+    /// Gives a job back; see [`Lease::give_up`].
+    pub fn give_up(&self, now: Micros, job: JobId) {
+        self.lease.borrow_mut().give_up(now, job, None);
+    }
+
+    /// The last look before an effect; see [`Lease::holds`].
+    pub fn holds(&self, now: Micros, job: JobId) -> Option<Token> {
+        self.lease.borrow().holds(now, job)
+    }
+
+    /// Something that keeps tokens knows this one.
+    pub fn heard(&self, job: JobId, token: Token) {
+        self.lease.borrow_mut().heard(job, token);
+    }
+
     /// This process is about to end: what it owns goes to whoever is next.
     pub fn leave(&self, now: Micros, view: &View) {
         let mut lease = self.lease.borrow_mut();
--- /dev/null
+++ b/crates/millethook-http/src/edge/replayer.rs
@@ -0,0 +1,301 @@
+//! Who replays which store: takes over what its lease allows, reads what comes to its files, and removes what is done
+//! with.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use millethook_edge::{Config, EdgeId, Replay, Step, Token, log};
+use millethook_engine::leases::JobId;
+use millethook_engine::names::stable_hash;
+use tokio::task::{spawn_blocking, spawn_local};
+use tokio::time::sleep;
+
+use super::disk::Written;
+use super::folder::{self, Name, Places};
+use super::{Edge, unix_ms};
+
+/// Between two looks at the folder, and at the files of a store that others append to.
+const LOOK: Duration = Duration::from_millis(500);
+/// Between two rounds while nothing happens.
+const ROUND: Duration = Duration::from_millis(20);
+/// Between two tries whether any server takes a connection, while none can be reached and something is kept.
+const TRY: Duration = Duration::from_millis(500);
+/// The fleet is told again how far a store is, also where nothing has changed.
+const TELL: Duration = Duration::from_secs(10);
+/// A foreign store is asked for so many leases later than its own process asks.
+const FOREIGN: u32 = 1;
+/// Steps of one store in one round, at most.
+const STEPS: usize = 64;
+
+/// A store that is replayed here.
+pub(super) struct Store {
+    pub edge: EdgeId,
+    pub token: Token,
+    pub replay: RefCell<Replay>,
+    places: RefCell<Places>,
+    looked: Cell<Instant>,
+    told: Cell<Option<(Instant, (u64, u64))>>,
+    /// The disk has refused a mark: another one owns it.
+    pub fenced: Cell<bool>,
+}
+
+/// The job of replaying a store.
+pub(super) fn job(edge: EdgeId) -> JobId {
+    JobId(stable_hash(format!("replay {edge}").as_bytes()))
+}
+
+impl Edge {
+    /// Runs for as long as the process.
+    pub(super) async fn replay(self: Rc<Edge>) {
+        let mut known: BTreeMap<EdgeId, ()> = BTreeMap::new();
+        let (mut looked, mut tried, mut nth) = (None::<Instant>, Instant::now(), 0usize);
+        loop {
+            if looked.is_none_or(|at| at.elapsed() > LOOK) {
+                looked = Some(Instant::now());
+                self.look_for_stores(&mut known).await;
+            }
+            for edge in known.keys().copied().collect::<Vec<_>>() {
+                self.follow(edge).await;
+            }
+            let something =
+                self.replays.borrow().values().any(|s| s.replay.borrow().book().left() > 0);
+            if something && self.driver.is_isolated() && tried.elapsed() > TRY {
+                tried = Instant::now();
+                nth = nth.wrapping_add(1);
+                let (driver, nth) = (self.driver.clone(), nth);
+                spawn_local(async move { driver.try_any(nth).await });
+            }
+            let stores: Vec<Rc<Store>> = self.replays.borrow().values().cloned().collect();
+            let others = self.fleet.edges_left();
+            for store in stores {
+                store.replay.borrow_mut().set_stores(others.max(1));
+                self.look_at(&store).await;
+                self.steps(&store);
+                self.tell(&store);
+            }
+            tokio::select! {
+                () = sleep(ROUND) => {}
+                () = self.wake.notified() => sleep(Duration::from_millis(1)).await,
+            }
+        }
+    }
+
+    async fn look_for_stores(&self, known: &mut BTreeMap<EdgeId, ()>) {
+        let path = self.settings.folder.clone();
+        let found = spawn_blocking(move || folder::stores(&path)).await;
+        let found = match found {
+            Ok(Ok(found)) => found,
+            Ok(Err(e)) => {
+                tracing::error!(event = "edge_disk", "{}: {e}", self.settings.folder.display());
+                return;
+            }
+            Err(_) => return,
+        };
+        for edge in &found {
+            if known.insert(*edge, ()).is_none() {
+                let own = *edge == self.own;
+                let wait = if own { Duration::ZERO } else { self.settings.lease * FOREIGN };
+                self.fleet.want(job(*edge), self.settings.lease, wait);
+            }
+        }
+        let gone: Vec<EdgeId> = known.keys().filter(|e| !found.contains(e)).copied().collect();
+        for edge in gone {
+            known.remove(&edge);
+            self.fleet.give_up(job(edge));
+            self.replays.borrow_mut().remove(&edge);
+        }
+    }
+
+    /// Takes a store over, or lets it go, as its lease says.
+    async fn follow(&self, edge: EdgeId) {
+        let held = self.fleet.holds(job(edge));
+        let replayed = self.replays.borrow().get(&edge).map(|s| (s.token, s.fenced.get()));
+        match (held, replayed) {
+            (Some(token), Some((mine, false))) if token == mine => {}
+            (Some(token), before) => {
+                if before.is_some() {
+                    self.replays.borrow_mut().remove(&edge);
+                }
+                self.take_over(edge, token).await;
+            }
+            (None, Some(_)) => {
+                // What is out goes on; its end is written down under the old token.
+                self.replays.borrow_mut().remove(&edge);
+            }
+            (None, None) => {}
+        }
+    }
+
+    async fn take_over(&self, edge: EdgeId, token: Token) {
+        let path = self.settings.folder.clone();
+        let loaded = spawn_blocking(move || -> io::Result<_> {
+            let highest = folder::highest(&path, edge)?;
+            Ok((highest, folder::load(&path, edge)?))
+        });
+        let (highest, (book, places)) = match loaded.await {
+            Ok(Ok(loaded)) => loaded,
+            Ok(Err(e)) => {
+                tracing::error!(event = "edge_disk", "store {edge}: {e}");
+                self.fleet.give_up(job(edge));
+                return;
+            }
+            Err(_) => return,
+        };
+        if highest > token {
+            // Somebody has replayed it under a higher token: only one above that will do.
+            self.fleet.heard(job(edge), highest);
+            self.fleet.give_up(job(edge));
+            self.fleet.want(job(edge), self.settings.lease, Duration::from_millis(100));
+            return;
+        }
+        for (at, length, seq, _) in &book.damaged {
+            let seq = seq.map_or("unknown".to_owned(), |seq| seq.to_string());
+            tracing::error!(
+                event = "edge_damaged",
+                "store {edge}: {length} bytes from {at} on, write {seq}"
+            );
+        }
+        let settings = &self.settings;
+        let config = Config {
+            at_once: settings.at_once,
+            fleet_per_second: settings.fleet_per_second,
+            keep_ms: settings.keep.as_millis() as u64,
+            forerunner: settings.forerunner.as_micros() as u64,
+            go_on: settings.go_on,
+            margin_ms: self.driver.longest_deadline().as_millis() as u64 + 500,
+        };
+        let left = book.left();
+        let replay = RefCell::new(Replay::new(config, token, book, self.now()));
+        let store = Store {
+            edge,
+            token,
+            replay,
+            places: RefCell::new(places),
+            looked: Cell::new(Instant::now()),
+            told: Cell::new(None),
+            fenced: Cell::new(false),
+        };
+        tracing::info!(
+            event = "edge_replays",
+            "store {edge} is replayed here: {left} writes without an end"
+        );
+        self.replays.borrow_mut().insert(edge, Rc::new(store));
+    }
+
+    pub(super) fn now(&self) -> u64 {
+        // Any clock will do that the replay is always shown.
+        self.started().elapsed().as_micros() as u64
+    }
+
+    /// Reads what others have appended.
+    async fn look_at(&self, store: &Rc<Store>) {
+        let own = store.edge == self.own;
+        let recent = if own { ROUND } else { LOOK };
+        if store.looked.get().elapsed() < recent {
+            return;
+        }
+        store.looked.set(Instant::now());
+        let (path, edge, mine) = (self.settings.folder.clone(), store.edge, store.token);
+        let mut places = store.places.borrow().clone();
+        let read = spawn_blocking(move || -> io::Result<_> {
+            let mut items = Vec::new();
+            for name in folder::files(&path, edge)? {
+                if name == Name::Journal(mine) {
+                    continue;
+                }
+                let from = places.entry(name).or_default();
+                let bytes = folder::read(&name.path(&path, edge), *from)?;
+                let base = *from;
+                for item in log::scan(&bytes, 0) {
+                    let Some(end) = folder::end_of(&item) else { continue };
+                    *from = base + end;
+                    items.push((base, item));
+                }
+            }
+            Ok((places, items))
+        });
+        let Ok(Ok((places, items))) = read.await else { return };
+        store.places.replace(places);
+        let mut replay = store.replay.borrow_mut();
+        for (base, item) in items {
+            if let log::Item::Record { seq, at, length, record } = item {
+                replay.read(seq, (base + at, length), &record);
+            }
+        }
+    }
+
+    /// Carries out what the replay wants next.
+    fn steps(self: &Rc<Edge>, store: &Rc<Store>) {
+        if self.driver.is_isolated() || store.fenced.get() {
+            return;
+        }
+        for _ in 0..STEPS {
+            let next = store
+                .replay
+                .borrow_mut()
+                .next(self.now(), self.here(), unix_ms(), &|id| self.progress_elsewhere(id));
+            let Some(step) = next else { return };
+            spawn_local(self.clone().carry_out(store.clone(), step));
+        }
+    }
+
+    async fn carry_out(self: Rc<Edge>, store: Rc<Store>, first: Step) {
+        let mut step = Some(first);
+        while let Some(now) = step.take() {
+            step = match now {
+                Step::Write(seq, record) => {
+                    let mut bytes = Vec::new();
+                    let fits = log::append(&mut bytes, seq, &record).is_ok();
+                    let name = Name::Journal(store.token);
+                    let written = match self.disk.append(store.edge, name, bytes).filter(|_| fits) {
+                        Some(written) => written.await.unwrap_or(Written::Unknown),
+                        None => Written::No,
+                    };
+                    if written == Written::Fenced {
+                        store.fenced.set(true);
+                    }
+                    let on_disk = written == Written::OnDisk;
+                    self.ended(&record, on_disk);
+                    store.replay.borrow_mut().written(self.now(), seq, on_disk)
+                }
+                Step::Send(seq) => {
+                    let outcome = self.send(&store, seq).await;
+                    store.replay.borrow_mut().outcome(seq, outcome, unix_ms())
+                }
+            };
+        }
+        self.wake.notify_one();
+    }
+
+    /// Tells the fleet how far a store is; one that is done with is removed.
+    fn tell(&self, store: &Rc<Store>) {
+        let (mark, left) = {
+            let replay = store.replay.borrow();
+            (replay.book().watermark(), replay.book().left())
+        };
+        let due = store.told.get().is_none_or(|(at, told)| told != mark || at.elapsed() > TELL);
+        if due && self.fleet.say_edge(store.edge.0, store.token, mark, left) {
+            store.told.set(Some((Instant::now(), mark)));
+        }
+        let foreign = store.edge != self.own;
+        let quiet = store.told.get().is_some_and(|(at, _)| at.elapsed() < TELL);
+        if left == 0 && foreign && quiet && self.is_over(store) {
+            let path: PathBuf = self.settings.folder.join(store.edge.to_string());
+            tracing::info!(event = "edge_done", "store {} is empty and removed", store.edge);
+            let _ = std::fs::remove_dir_all(path);
+        }
+    }
+
+    /// Whether a store's process is gone, and so long ago that nobody asks what became of its writes.
+    fn is_over(&self, store: &Store) -> bool {
+        let path = Name::Intake.path(&self.settings.folder, store.edge);
+        let Ok(data) = std::fs::metadata(&path) else { return false };
+        let old = data.modified().ok().and_then(|at| at.elapsed().ok());
+        // A process holds its intake locked for as long as it lives.
+        old.is_some_and(|old| old > self.settings.keep) && super::lock::is_free(&path)
+    }
+}
--- a/crates/millethook-http/src/ingress.rs
+++ b/crates/millethook-http/src/ingress.rs
@@ -19,7 +19,7 @@
 use hyper::{Request, Response, StatusCode, Version};
 use hyper_util::rt::TokioIo;
 use millethook_engine::budget::{self, Permit, Sockets};
-use millethook_engine::driver::{Driver, Reply};
+use millethook_engine::driver::{Driver, Reply, RequestHead};
 use millethook_engine::names::Names;
 use millethook_engine::stream::{self, Observer, Stream};
 use millethook_engine::upload::{LONGEST_UPLOAD, NotTaken, Upload};
@@ -30,6 +30,7 @@
 
 use crate::answer::{self, AnswerBody};
 use crate::body::{FeedError, Gone, Held, Pace, ReadError, feed, framing, hold};
+use crate::edge::{CONTEXT, Edge, Kept, Receipt};
 use crate::guard::{HeadScan, OpenIds};
 use crate::head::{HeadOverrides, parse_head};
 
@@ -63,6 +64,8 @@
 /// So much is read of it at once, and a pause is made.
 const LINGER_PIECE: usize = 64 << 10;
 const LINGER_PAUSE: Duration = Duration::from_millis(5);
+/// When a client should come back whose request waits for one that is kept.
+const COME_BACK: Duration = Duration::from_secs(1);
 /// A pause before accepting again when the system has no descriptor left.
 const NO_DESCRIPTOR: Duration = Duration::from_millis(10);
 
@@ -201,6 +204,8 @@
     accepted: Cell<(u64, Instant)>,
     draining: Cell<bool>,
     tried: Cell<bool>,
+    /// Where writes are kept while no server can be reached, if they are.
+    edge: RefCell<Option<Rc<Edge>>>,
     /// Who takes over the connections of clients, at a planned end.
     successor: RefCell<Option<Rc<dyn Successor>>>,
 }
@@ -230,6 +235,7 @@
             accepted: Cell::new((0, Instant::now())),
             draining: Cell::new(false),
             tried: Cell::new(false),
+            edge: RefCell::default(),
             successor: RefCell::default(),
         })
     }
@@ -240,6 +246,11 @@
         self.successor.replace(Some(successor));
     }
 
+    /// Writes are kept there from now on, where no server can be reached.
+    pub fn keep_at(&self, edge: Rc<Edge>) {
+        self.edge.replace(Some(edge));
+    }
+
     /// Whether requests can be served: discovery was tried, and there is a list of servers.
     pub fn is_ready(&self) -> bool {
         self.tried.get() && self.driver.listed()
@@ -434,7 +445,8 @@
             client.head.replace(HeadScan::default());
         }
         let (mut response, last) = match self.reply(&client, request).await? {
-            Ok(reply) => (written(reply), false),
+            Ok(Answered::Driver(reply)) => (written(reply), false),
+            Ok(Answered::Kept(receipt)) => (accepted(receipt), false),
             // Danger: what follows a request that makes no sense makes none either.
             Err(status) => {
                 let last = [StatusCode::BAD_REQUEST, StatusCode::REQUEST_TIMEOUT];
@@ -455,7 +467,7 @@
         &self,
         client: &Client,
         request: Request<Incoming>,
-    ) -> Result<Result<Reply, StatusCode>, Gone> {
+    ) -> Result<Result<Answered, StatusCode>, Gone> {
         let (head, body) = request.into_parts();
         if head.version == Version::HTTP_11 && !head.headers.contains_key(header::HOST) {
             return Ok(Err(StatusCode::BAD_REQUEST));
@@ -492,10 +504,47 @@
         claim.keep();
         let pieces = match held {
             Held::Whole(pieces) => {
-                let spec = answer::spec(head, &asked, pieces, account, None);
-                let mut ticket = self.driver.request(asked, spec);
-                drop(names);
-                return Ok(Ok(ticket.reply().await));
+                let edge = self.edge.borrow().clone();
+                let taken = match &edge {
+                    Some(edge) => edge.look(&head, &asked, &pieces),
+                    None => Ok(None),
+                };
+                let taken = match taken {
+                    Ok(taken) => edge.zip(taken),
+                    Err(invalid) => return Ok(Err(invalid.status())),
+                };
+                let left = (Instant::now(), asked.left);
+                if let Some((edge, taken)) = &taken
+                    && !edge.wants(taken)
+                    && !edge.forerunners(taken).await
+                {
+                    return Ok(Ok(Answered::Driver(refused(edge.come_back(COME_BACK)))));
+                }
+                let kept = match taken {
+                    Some((edge, taken)) if edge.wants(&taken) => Some((edge, taken)),
+                    taken => {
+                        let asked =
+                            RequestHead { left: left.1.saturating_sub(left.0.elapsed()), ..asked };
+                        let spec = answer::spec(head, &asked, pieces, account, None);
+                        let mut ticket = self.driver.request(asked, spec);
+                        drop(names);
+                        let reply = ticket.reply().await;
+                        let never_ran = matches!(reply, Reply::Refused { may_have_run: false, .. });
+                        match taken.filter(|(edge, taken)| never_ran && edge.wants_refused(taken)) {
+                            None => return Ok(Ok(Answered::Driver(reply))),
+                            kept => kept,
+                        }
+                    }
+                };
+                let Some((edge, taken)) = kept else {
+                    return Ok(Ok(Answered::Driver(Reply::Failed)));
+                };
+                let left = left.1.saturating_sub(left.0.elapsed());
+                return Ok(Ok(match edge.keep(taken, left).await {
+                    Kept::OnDisk(receipt) => Answered::Kept(receipt),
+                    Kept::Refused(after) => Answered::Driver(refused(edge.come_back(after))),
+                    Kept::Unknown => Answered::Driver(Reply::Failed),
+                }));
             }
             Held::Part(pieces) => pieces,
         };
@@ -510,15 +559,17 @@
             tokio::select! {
                 biased;
                 // It was refused, or a server had no need of the rest.
-                reply = ticket.reply() => return Ok(Ok(reply)),
+                reply = ticket.reply() => return Ok(Ok(Answered::Driver(reply))),
                 fed = feeding => fed,
             }
         };
         match fed {
             Err(FeedError::Read(e)) => unread(e).map(Err),
-            Err(FeedError::NotTaken(NotTaken::Stalled)) => Ok(Ok(Reply::Failed)),
+            Err(FeedError::NotTaken(NotTaken::Stalled)) => Ok(Ok(Answered::Driver(Reply::Failed))),
             // Why nobody takes it, the reply tells.
-            Ok(()) | Err(FeedError::NotTaken(NotTaken::Closed)) => Ok(Ok(ticket.reply().await)),
+            Ok(()) | Err(FeedError::NotTaken(NotTaken::Closed)) => {
+                Ok(Ok(Answered::Driver(ticket.reply().await)))
+            }
         }
     }
 }
@@ -585,6 +636,30 @@
     response
 }
 
+/// What a request is answered with.
+enum Answered {
+    /// What came of it at servers.
+    Driver(Reply),
+    /// It is kept, and goes out later.
+    Kept(Receipt),
+}
+
+fn refused(retry_after: Option<Duration>) -> Reply {
+    Reply::Refused { retry_after, may_have_run: false }
+}
+
+/// 202 with the receipt: what comes after this write names it (RFC 7240, section 4.1).
+fn accepted(Receipt(id): Receipt) -> Response<AnswerBody> {
+    let mut response = plain(StatusCode::ACCEPTED);
+    let headers = response.headers_mut();
+    headers.insert("preference-applied", HeaderValue::from_static("respond-async"));
+    if let Ok(id) = HeaderValue::try_from(id.to_string()) {
+        headers.insert(&CONTEXT, id);
+    }
+    *response.body_mut() = Either::Left(Full::from(format!("{id}\n")));
+    response
+}
+
 fn written(reply: Reply) -> Response<AnswerBody> {
     match reply {
         Reply::Served(head, body) => answer::whole(head, body),
--- a/crates/millethook-http/src/lib.rs
+++ b/crates/millethook-http/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod answer;
 pub mod body;
+pub mod edge;
 pub mod guard;
 pub mod head;
 pub mod ingress;
--- a/crates/millethook-lab/src/ledger/mod.rs
+++ b/crates/millethook-lab/src/ledger/mod.rs
@@ -86,6 +86,8 @@
     Open,
     /// 200 and the body made for it.
     Served,
+    /// 202 and a receipt: it is kept, and goes out later.
+    Kept,
     /// 429 or 503.
     Refused,
     /// Any other status.
@@ -119,6 +121,8 @@
     pub ended: Micros,
     /// Its end.
     pub end: End,
+    /// The try whose receipt it carried: it comes after that.
+    pub after: Option<RequestId>,
 }
 
 /// What became of an attempt at a server.
--- a/crates/millethook-lab/src/timeline/check.rs
+++ b/crates/millethook-lab/src/timeline/check.rs
@@ -55,6 +55,7 @@
         ("descriptors", s.descriptors as f64, 128.0, 1_048_576.0),
         ("view_period_s", s.view_period_s, 0.0, 60.0),
         ("views", s.views as f64, 0.0, 64.0),
+        ("edge_host", s.edge_host as f64, 0.0, 2_000.0),
     ];
     bounds(f, at, &sizes);
     let (l, at) = parts.load;
@@ -105,6 +106,8 @@
         ("imbalance", e.imbalance, 1_000.0),
         ("handshakes", e.handshakes, 1_000.0),
         ("unanswered", e.unanswered, 1e9),
+        ("kept_open", e.kept_open, 1e9),
+        ("kept", e.kept, 1e9),
         ("owned_at_end", e.owned_at_end, 1e6),
         ("view_agrees_within_s", e.view_agrees_within_s, LONGEST_S),
         ("evidence_agrees_within_s", e.evidence_agrees_within_s, LONGEST_S),
@@ -130,6 +133,7 @@
             ("deadline_ms", c.deadline_ms, 1.0, 60_000.0),
             ("work_ms", c.work_ms, 0.1, 60_000.0),
             ("worth", c.worth, 0.0, 1e6),
+            ("chain", c.chain as f64, 0.0, 2_000.0),
         ];
         bounds(f, at, &figures);
         if c.aim_ms > c.deadline_ms {
--- a/crates/millethook-lab/src/timeline/mod.rs
+++ b/crates/millethook-lab/src/timeline/mod.rs
@@ -77,6 +77,8 @@
     pub view_period_s: f64,
     /// They tell one another what they meet at servers. Needs a view.
     pub share_evidence: bool,
+    /// Sidecars of one host: they share a folder of kept writes (`[edge]`); 0: none is kept. Needs a lease in `product`.
+    pub edge_host: usize,
     /// Addresses under which one sidecar is seen by others: so many views of the fleet. 0: as many as there
     /// are sidecars up to 16, else 2.
     pub views: usize,
@@ -93,6 +95,7 @@
             product,
             view_period_s: 0.0,
             share_evidence: false,
+            edge_host: 0,
             views: 0,
         }
     }
@@ -164,6 +167,10 @@
     pub work_ms: f64,
     /// What an answer in aim is worth.
     pub worth: f64,
+    /// Its clients take a receipt for an answer (`Prefer: respond-async`).
+    pub receipts: bool,
+    /// Clients of so many sidecars pass the last receipt on among them, each write after the one before; 0: none does.
+    pub chain: usize,
 }
 
 impl Default for Class {
@@ -178,6 +185,8 @@
             deadline_ms: 1_000.0,
             work_ms: 20.0,
             worth: 1.0,
+            receipts: false,
+            chain: 0,
         }
     }
 }
@@ -278,6 +287,10 @@
     pub imbalance: Option<f64>,
     /// The most new connections to servers for each request.
     pub handshakes: Option<f64>,
+    /// The most kept writes that have not been done by the end.
+    pub kept_open: Option<f64>,
+    /// The least writes that are kept.
+    pub kept: Option<f64>,
     /// The most attempts that no server answers.
     pub unanswered: Option<f64>,
     /// The least jobs of the fleet that have an owner at the end.
--- a/crates/millethook-lab/src/world/client.rs
+++ b/crates/millethook-lab/src/world/client.rs
@@ -66,8 +66,15 @@
     rest: Mutex<VecDeque<(Wire, RequestId, SocketAddr)>>,
     places: Semaphore,
     turn: AtomicUsize,
+    /// The last receipts, by class, and whose they were; shared by those that pass them on.
+    receipts: Arc<Receipts>,
 }
 
+/// The last receipt of each class, as clients pass it on.
+pub type Receipts = Mutex<std::collections::HashMap<usize, (String, RequestId, usize)>>;
+/// A chain of writes begins anew after so many.
+const CHAIN: usize = 10;
+
 impl Clients {
     /// The clients of a sidecar that listens at `at`.
     pub fn new(
@@ -75,6 +82,7 @@
         sidecar: usize,
         lateness: &Arc<Lateness>,
         at: SocketAddr,
+        receipts: Arc<Receipts>,
     ) -> Arc<Clients> {
         Arc::new(Clients {
             stage: stage.clone(),
@@ -85,6 +93,7 @@
             rest: Mutex::default(),
             places: Semaphore::new(AT_ONCE),
             turn: AtomicUsize::new(0),
+            receipts,
         })
     }
 
@@ -179,7 +188,8 @@
         due: Micros,
         left: Duration,
     ) -> (End, Option<Duration>) {
-        let request = self.request(id, class, left);
+        let receipt = self.receipt(class);
+        let request = self.request(id, class, left, receipt.as_ref().map(|r| r.0.as_str()));
         let clock = &self.stage.clock;
         let mut row = Request {
             id,
@@ -189,6 +199,7 @@
             left: left.as_micros() as Micros,
             ended: 0,
             end: End::Open,
+            after: receipt.as_ref().map(|r| r.1),
         };
         let rested = self.checkout();
         let reused = rested.is_some();
@@ -239,6 +250,10 @@
             Some(Err(_) | Ok(None)) => (End::Broken, None),
             Some(Ok(Some(message))) => {
                 let end = end_of(id, &message);
+                if end == End::Kept {
+                    let depth = receipt.as_ref().map_or(1, |r| r.2 + 1);
+                    self.take_receipt(class, &message, id, depth);
+                }
                 let told = message.header("retry-after").and_then(|v| v.parse::<f64>().ok());
                 let told = told.filter(|s| (0.0..60.0).contains(s)).map(Duration::from_secs_f64);
                 let closes = message.header("connection").is_some_and(|v| v.contains("close"));
@@ -257,12 +272,35 @@
         Some((Wire::new(stream), at))
     }
 
-    fn request(&self, id: RequestId, class: usize, left: Duration) -> String {
+    /// The receipt that the next write of a class carries.
+    fn receipt(&self, class: usize) -> Option<(String, RequestId, usize)> {
+        if self.stage.timeline.classes[class].chain == 0 {
+            return None;
+        }
+        let receipts = self.receipts.lock().unwrap_or_else(PoisonError::into_inner);
+        receipts.get(&class).filter(|r| r.2 < CHAIN).cloned()
+    }
+
+    fn take_receipt(&self, class: usize, message: &Message, id: RequestId, depth: usize) {
+        let Some(receipt) = message.header("millethook-context") else { return };
+        let mut receipts = self.receipts.lock().unwrap_or_else(PoisonError::into_inner);
+        receipts.insert(class, (receipt.to_owned(), id, depth));
+    }
+
+    fn request(
+        &self,
+        id: RequestId,
+        class: usize,
+        left: Duration,
+        receipt: Option<&str>,
+    ) -> String {
         let class = &self.stage.timeline.classes[class];
+        let prefer = if class.receipts { "Prefer: respond-async\r\n" } else { "" };
+        let after = receipt.map_or(String::new(), |r| format!("Millethook-After: {r}\r\n"));
         let head = |method: &str, more: &str| {
             format!(
                 "{method} /{} HTTP/1.1\r\nHost: app\r\nX-Correlation-Id: {}\r\nX-Account: acme\r\n\
-                 X-Time-Left-Ms: {}\r\n{more}\r\n",
+                 X-Time-Left-Ms: {}\r\n{prefer}{after}{more}\r\n",
                 class.name,
                 id.wire(),
                 left.as_millis()
@@ -309,6 +347,7 @@
     match message.status {
         200 if message.body == id.wire().as_bytes() => End::Served,
         200 => End::Foreign,
+        202 => End::Kept,
         429 | 503 => End::Refused,
         status => End::Failed(status),
     }
@@ -317,7 +356,7 @@
 /// Whether a client tries again, as the platform's clients do.
 fn may_try_again(class: &Class, end: End, passed: Duration) -> bool {
     match end {
-        End::Served | End::Foreign | End::Open => false,
+        End::Served | End::Kept | End::Foreign | End::Open => false,
         End::Refused | End::Unreached | End::Closed => true,
         End::Failed(_) | End::Broken | End::Silent => match (class.effect, class.group) {
             (Effect::Safe, _) => true,
--- a/crates/millethook-lab/src/world/conductor.rs
+++ b/crates/millethook-lab/src/world/conductor.rs
@@ -12,7 +12,7 @@
 
 use super::addresses::Addresses;
 use super::agent::{Agent, Directory, Mode};
-use super::client::{Clients, Lateness};
+use super::client::{Clients, Lateness, Receipts};
 use super::network::NetworkModel;
 use super::processes::{Ended, Events, Processes, Ready};
 use super::relay::Relay;
@@ -153,9 +153,14 @@
     /// The load begins: from here on the clock runs.
     fn begin(&mut self, lateness: &Arc<Lateness>) {
         self.clock.begin();
+        let shared = self.timeline.classes.iter().map(|c| c.chain).max().unwrap_or(0).max(1);
+        let mut receipts: Arc<Receipts> = Arc::default();
         for n in 0..self.plan.sidecars.len() {
             let at = self.fleet.addresses.listen(n, 0);
-            let clients = Clients::new(&self.stage, n, lateness, at);
+            if n % shared == 0 {
+                receipts = Arc::default();
+            }
+            let clients = Clients::new(&self.stage, n, lateness, at, receipts.clone());
             clients.offer(!self.plan.sidecars[n].late);
             self.clients.push(clients);
         }
--- a/crates/millethook-lab/src/world/processes.rs
+++ b/crates/millethook-lab/src/world/processes.rs
@@ -25,6 +25,9 @@
 /// What a sidecar may send to others in a period of up to a second: the daemon's default.
 const BYTES_A_PERIOD: f64 = 1_500.0;
 
+/// Runs are short.
+const EDGE: &str = "forerunner_s = 20\n";
+
 /// All daemons have to be ready within this.
 const READY: Duration = Duration::from_secs(60);
 /// Between two questions whether a daemon is ready.
@@ -72,7 +75,8 @@
     /// The lab's addresses.
     pub addresses: Addresses,
     launcher: Launch,
-    product: Option<PathBuf>,
+    /// The product's file of each host.
+    products: Vec<PathBuf>,
     /// Where the agent of each sidecar is.
     discovery: Vec<SocketAddr>,
     running: HashMap<i32, Process>,
@@ -112,14 +116,23 @@
                 product += "share_evidence = true\n";
             }
         }
-        let product = match product.as_str() {
-            "" => None,
-            text => {
-                let path = launcher.folder.join("product.toml");
-                std::fs::write(&path, text).map_err(machine("the product's file"))?;
-                Some(path)
+        let mut products = Vec::new();
+        let per_host = timeline.sidecars.edge_host;
+        let hosts = if per_host == 0 { 1 } else { timeline.sidecars.count.div_ceil(per_host) };
+        for host in 0..hosts {
+            let text = format!("{product}{}", edge(timeline, &launcher.folder, host));
+            if text.is_empty() {
+                break;
             }
-        };
+            // What an earlier run into the same folder has kept is not this one's.
+            let stores = launcher.folder.join(format!("edge{host}"));
+            if stores.exists() {
+                std::fs::remove_dir_all(&stores).map_err(machine("the folder of kept writes"))?;
+            }
+            let path = launcher.folder.join(format!("product{host}.toml"));
+            std::fs::write(&path, text).map_err(machine("the product's file"))?;
+            products.push(path);
+        }
         let (to_exits, exits) = mpsc::unbounded_channel();
         let (to_readies, readies) = mpsc::unbounded_channel();
         let processes = Processes {
@@ -130,7 +143,7 @@
             relay: relay.clone(),
             addresses,
             launcher,
-            product,
+            products,
             discovery,
             running: HashMap::new(),
             starts: 0,
@@ -184,7 +197,10 @@
             ^ self.starts;
         let config = configuration(&self.timeline, sidecar, seed, &wiring);
         let path = self.launcher.write(name, &config)?;
-        let pid = self.launcher.start(name, &path, self.product.as_deref(), self.exits.clone())?;
+        let host = sidecar / self.timeline.sidecars.edge_host.max(1);
+        let product = self.products.get(host).or(self.products.first());
+        let pid =
+            self.launcher.start(name, &path, product.map(PathBuf::as_path), self.exits.clone())?;
         self.relay.admit(sidecar, wiring.datagrams);
         Ok((pid, wiring.listen))
     }
@@ -340,6 +356,17 @@
     }
 }
 
+/// What the product's file of a host says of kept writes.
+fn edge(timeline: &Timeline, folder: &std::path::Path, host: usize) -> String {
+    if timeline.sidecars.edge_host == 0 {
+        return String::new();
+    }
+    let classes = timeline.classes.iter().filter(|c| c.receipts).map(|c| format!("{:?}", c.name));
+    let classes = classes.collect::<Vec<_>>().join(", ");
+    let stores = folder.join(format!("edge{host}"));
+    format!("\n[edge]\nfolder = {:?}\nclasses = [{classes}]\n{EDGE}", stores.display().to_string())
+}
+
 /// Asks a daemon until it is ready.
 async fn until_ready(at: std::net::SocketAddr) {
     while !is_ready(at).await {
--- a/crates/millethook-lab/tests/processes.rs
+++ b/crates/millethook-lab/tests/processes.rs
@@ -67,6 +67,11 @@
     hold(&["lease-ends.toml", "lease-cuts.toml"]);
 }
 
+#[test]
+fn kept_writes_are_done_once_and_in_order_through_kills_pauses_and_second_cuts() {
+    hold(&["edge-ends.toml", "edge-cuts.toml"]);
+}
+
 /// What the judges say of a daemon that does this wrong.
 fn caught(file: &str, wrong: &str, said: &str) {
     let rogue = rogue();
--- a/crates/plankvale/src/cli.rs
+++ b/crates/plankvale/src/cli.rs
@@ -8,6 +8,8 @@
 use millethook_config::Product;
 use millethook_membership::store;
 
+use crate::edge::EdgeCommand;
+
 /// The variable that names the product's file where `--config` does not.
 const CONFIG: &str = "MILLETHOOK_CONFIG";
 
@@ -35,6 +37,11 @@
         /// An operators' address, an LB_CONFIG file that names one (admin), or a file with one a line
         whom: String,
     },
+    /// Writes that are kept while no server can be reached
+    Edge {
+        #[command(subcommand)]
+        command: EdgeCommand,
+    },
     /// The list of servers that is kept over restarts
     Membership {
         #[command(subcommand)]
@@ -62,6 +69,7 @@
     pub fn carry_out(&self) -> Option<ExitCode> {
         let done = match self.command.as_ref()? {
             Command::Check { file } => check(file),
+            Command::Edge { command } => command.carry_out(),
             Command::Fleet { whom } => return Some(crate::fleet::show(whom)),
             Command::Membership { command: MembershipCommand::Show { file } } => show(file),
         };
--- a/crates/plankvale/src/config.rs
+++ b/crates/plankvale/src/config.rs
@@ -11,6 +11,7 @@
 use millethook_engine::list::List;
 use millethook_engine::names::Names;
 use millethook_engine::product::retune;
+use millethook_http::edge::add_classes;
 use serde::Deserialize;
 use serde_json::Value;
 
@@ -93,6 +94,11 @@
         };
         let mut config = Config::of_platform()?;
         retune(&product, &mut config.settings);
+        if let Some(edge) = &product.edge {
+            add_classes(&edge.classes, &mut config.settings);
+            let names = Names::new(&config.settings, &config.raw["settings"]);
+            config.names = names.map_err(|e| format!("LB_CONFIG: {e}"))?;
+        }
         config.product = product;
         Ok(config)
     }
--- /dev/null
+++ b/crates/plankvale/src/edge.rs
@@ -0,0 +1,162 @@
+//! `plankvale edge`: what stores of kept writes hold, and an operator's word on what is in doubt.
+
+use std::fs::File;
+use std::io::{self, Write as _};
+use std::path::{Path, PathBuf};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use clap::Subcommand;
+use millethook_edge::record::{End, Record};
+use millethook_edge::{Book, State, WriteId, log};
+use millethook_http::edge::folder::{self, Name};
+
+/// What is done with a folder of stores.
+#[derive(Subcommand, Debug)]
+pub enum EdgeCommand {
+    /// Print what each store holds, and each write that has no end or did not end well
+    Show {
+        /// The folder that `edge.folder` names
+        folder: PathBuf,
+    },
+    /// Print each write without an end, or set apart, as JSON, one a line, with its body in hexadecimal
+    Export {
+        /// The folder that `edge.folder` names
+        folder: PathBuf,
+    },
+    /// Have a write that is in doubt sent again: it is known not to have run, or may run twice
+    Release {
+        /// The folder that `edge.folder` names
+        folder: PathBuf,
+        /// The write's name, as `show` prints it
+        write: WriteId,
+    },
+    /// Have a write not sent any more; those that come after it go on
+    Drop {
+        /// The folder that `edge.folder` names
+        folder: PathBuf,
+        /// The write's name, as `show` prints it
+        write: WriteId,
+    },
+}
+
+impl EdgeCommand {
+    /// Carries the command out.
+    ///
+    /// # Errors
+    /// Names the folder, the store or the write that it was not possible with.
+    pub fn carry_out(&self) -> Result<String, String> {
+        match self {
+            EdgeCommand::Show { folder } => each(folder, show),
+            EdgeCommand::Export { folder } => each(folder, export),
+            EdgeCommand::Release { folder, write } => say(folder, *write, &Record::Release),
+            EdgeCommand::Drop { folder, write } => {
+                let end = Record::End {
+                    how: End::Dropped,
+                    status: 0,
+                    answer: Vec::new(),
+                    at_ms: now_ms(),
+                };
+                say(folder, *write, &end)
+            }
+        }
+    }
+}
+
+fn now_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+fn each(
+    folder: &Path,
+    print: fn(&Path, &Book, &mut Vec<String>) -> io::Result<()>,
+) -> Result<String, String> {
+    let wrong = |e: io::Error| format!("{}: {e}", folder.display());
+    let mut lines = Vec::new();
+    for edge in folder::stores(folder).map_err(wrong)? {
+        let (book, _) = folder::load(folder, edge).map_err(wrong)?;
+        print(folder, &book, &mut lines).map_err(wrong)?;
+    }
+    if lines.is_empty() {
+        lines.push("no stores".into());
+    }
+    Ok(lines.join("\n"))
+}
+
+fn state(state: State) -> String {
+    match state {
+        State::Kept => "kept".into(),
+        State::Out(token) => format!("out, under {token}"),
+        State::Again => "to be repeated".into(),
+        State::Doubt => "in doubt".into(),
+        State::Ended(end) => format!("{end:?}").to_lowercase(),
+    }
+}
+
+fn show(_: &Path, book: &Book, lines: &mut Vec<String>) -> io::Result<()> {
+    let counts = book.counts();
+    lines.push(format!(
+        "store {}: {} kept, {} out, {} in doubt, {} done, {} set apart, {} spoilt",
+        book.edge, counts.kept, counts.out, counts.doubt, counts.done, counts.aside, counts.damaged
+    ));
+    for (at, length, seq, _) in &book.damaged {
+        let seq = seq.map_or("of no known write".to_owned(), |seq| format!("of write {seq:x}"));
+        lines.push(format!("  {length} bytes from {at} on are spoilt, {seq}"));
+    }
+    for (seq, entry) in book.entries().filter(|(_, e)| e.state != State::Ended(End::Done)) {
+        let id = WriteId { edge: book.edge, seq };
+        let class = book.classes.get(usize::from(entry.class)).map_or("?", String::as_str);
+        let age = now_ms().saturating_sub(entry.kept_ms) / 1_000;
+        let after: Vec<String> = entry.after.iter().map(ToString::to_string).collect();
+        let after =
+            if after.is_empty() { String::new() } else { format!(", after {}", after.join(" ")) };
+        lines.push(format!("  {id}  {class}  {}, {age} s old{after}", state(entry.state)));
+    }
+    Ok(())
+}
+
+fn export(folder: &Path, book: &Book, lines: &mut Vec<String>) -> io::Result<()> {
+    let path = Name::Intake.path(folder, book.edge);
+    for (seq, entry) in book.entries().filter(|(_, e)| e.state != State::Ended(End::Done)) {
+        let bytes = folder::record(&path, entry.at)?;
+        let Some((_, Record::Write(write))) = log::one(&bytes) else { continue };
+        let headers: Vec<(String, String)> = (write.headers.iter())
+            .map(|(name, value)| (name.clone(), String::from_utf8_lossy(value).into_owned()))
+            .collect();
+        let body: String = write.body.iter().map(|b| format!("{b:02x}")).collect();
+        let line = serde_json::json!({
+            "write": WriteId { edge: book.edge, seq }.to_string(), "state": state(entry.state),
+            "kept_ms": write.at_ms, "class": write.class, "method": write.method,
+            "target": write.target, "headers": headers, "body": body,
+        });
+        lines.push(line.to_string());
+    }
+    Ok(())
+}
+
+/// Writes an operator's word where the owner of the replay reads it.
+fn say(folder: &Path, write: WriteId, record: &Record) -> Result<String, String> {
+    let wrong = |e: io::Error| format!("{}: {e}", folder.display());
+    let (book, _) = folder::load(folder, write.edge).map_err(wrong)?;
+    let entry = book.entry(write.seq).ok_or_else(|| format!("{write}: no such write"))?;
+    let fits = match (record, entry.state) {
+        (_, State::Ended(_)) => false,
+        (Record::Release, state) => state == State::Doubt || matches!(state, State::Out(_)),
+        _ => true,
+    };
+    if !fits {
+        return Err(format!(
+            "{write}: one in doubt or without an end expected, it is {}",
+            state(entry.state)
+        ));
+    }
+    let mut bytes = Vec::new();
+    log::append(&mut bytes, write.seq, record).map_err(|_| format!("{write}: too long"))?;
+    let path = Name::Words.path(folder, write.edge);
+    let append = || -> io::Result<()> {
+        let mut file = File::options().create(true).append(true).open(&path)?;
+        file.write_all(&bytes)?;
+        file.sync_all()
+    };
+    append().map_err(wrong)?;
+    Ok(format!("{write}: told; the sidecar that replays it hears of it within a second"))
+}
--- a/crates/plankvale/src/lib.rs
+++ b/crates/plankvale/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod cli;
 pub mod config;
+mod edge;
 mod fleet;
 mod operated;
 mod shutdown;
@@ -21,6 +22,7 @@
 use millethook_engine::product;
 use millethook_engine::{Engine, EngineConfig, PeerConfig};
 use millethook_handover::inherited;
+use millethook_http::edge::{Edge, EdgeSettings};
 use millethook_http::guard::OpenIds;
 use millethook_http::ingress::Ingress;
 use serde_json::Value;
@@ -93,16 +95,18 @@
         bytes,
         ids,
     );
+    let edge = keep_writes(&config.product, &engine, &ingress)?;
     let reloaded = Rc::default();
     let follower = Follower {
         inert,
         whole: config.raw,
         engine: engine.clone(),
         ingress: ingress.clone(),
+        edge: edge.clone(),
         reloaded: Rc::clone(&reloaded),
     };
     spawn_local(follower.follow(reloads));
-    let operated = Rc::new(Operated::new(ingress.clone(), engine.clone(), reloaded));
+    let operated = Rc::new(Operated::new(ingress.clone(), engine.clone(), edge, reloaded));
     if let Some(admin) = admin {
         let at = admin.local_addr().map_err(|e| format!("admin: {e}"))?;
         tracing::info!(event = "admin_listening", "operators call at {at}");
@@ -160,6 +164,36 @@
     Ok(())
 }
 
+/// Keeps writes where the product's file says so.
+fn keep_writes(
+    product: &Product,
+    engine: &Engine,
+    ingress: &Ingress,
+) -> Result<Option<Rc<Edge>>, String> {
+    let Some(of) = &product.edge else { return Ok(None) };
+    let Some(fleet) = &engine.fleet else {
+        tracing::warn!(event = "edge_off", "no writes are kept: there is no view of the fleet");
+        return Ok(None);
+    };
+    let settings = EdgeSettings {
+        folder: of.folder.clone(),
+        classes: of.classes.clone(),
+        most_bytes: (of.most_mb as u64) << 20,
+        most_writes: of.most_writes,
+        keep: of.keep,
+        forerunner: of.forerunner,
+        go_on: of.go_on,
+        at_once: of.at_once,
+        fleet_per_second: of.fleet_per_second,
+        slow: of.slow,
+        lease: product.lease.as_ref().map_or(Duration::from_secs(6), |lease| lease.longest),
+    };
+    let names = engine.names.borrow().clone();
+    let edge = Edge::start(settings, engine.driver.clone(), fleet.clone(), names)?;
+    ingress.keep_at(edge.clone());
+    Ok(Some(edge))
+}
+
 /// What a configuration fixes for as long as the process lives.
 struct Inert {
     listen: SocketAddr,
@@ -194,6 +228,7 @@
             ("[connections]", a.connections != b.connections),
             ("[fleet]", a.fleet != b.fleet),
             ("[lease]", a.lease != b.lease),
+            ("[edge]", a.edge != b.edge),
         ];
         differs.into_iter().filter_map(|(key, differs)| differs.then_some(key)).collect()
     }
@@ -206,6 +241,7 @@
     whole: Value,
     engine: Rc<Engine>,
     ingress: Rc<Ingress>,
+    edge: Option<Rc<Edge>>,
     reloaded: Rc<Reloaded>,
 }
 
@@ -234,6 +270,9 @@
             tracing::warn!(event = "reload_in_part", keys = %kept, "these change at the next start only");
         }
         let names = self.engine.retune(config.settings, &config.raw["settings"])?;
+        if let Some(edge) = &self.edge {
+            edge.renamed(names.clone());
+        }
         self.ingress.renamed(names);
         tracing::info!(
             event = "reload_applied",
--- a/crates/plankvale/src/operated.rs
+++ b/crates/plankvale/src/operated.rs
@@ -6,6 +6,7 @@
 use millethook_admin::{Operator, statsd};
 use millethook_engine::Engine;
 use millethook_engine::fleet::Fleet;
+use millethook_http::edge::Edge;
 use millethook_http::ingress::Ingress;
 
 /// What `plankvale fleet` reads.
@@ -71,13 +72,19 @@
 pub struct Operated {
     ingress: Rc<Ingress>,
     engine: Rc<Engine>,
+    edge: Option<Rc<Edge>>,
     reloaded: Rc<Reloaded>,
     stopping: Cell<bool>,
 }
 
 impl Operated {
-    pub fn new(ingress: Rc<Ingress>, engine: Rc<Engine>, reloaded: Rc<Reloaded>) -> Operated {
-        Operated { ingress, engine, reloaded, stopping: Cell::new(false) }
+    pub fn new(
+        ingress: Rc<Ingress>,
+        engine: Rc<Engine>,
+        edge: Option<Rc<Edge>>,
+        reloaded: Rc<Reloaded>,
+    ) -> Operated {
+        Operated { ingress, engine, edge, reloaded, stopping: Cell::new(false) }
     }
 
     /// From now on it is not ready: what comes new is for others.
@@ -110,6 +117,19 @@
         if let Some(fleet) = &self.engine.fleet {
             view(&mut lines, fleet, self.engine.strangers());
         }
+        if let Some(edge) = &self.edge {
+            let figures = edge.figures();
+            lines.count("edge.kept", figures.kept);
+            lines.count("edge.refused", figures.refused);
+            lines.count("edge.replayed", figures.replayed);
+            lines.count("edge.aside", figures.aside);
+            lines.gauge("edge.stores", figures.stores);
+            lines.gauge("edge.left", figures.left);
+            lines.gauge("edge.doubt", figures.doubt);
+            lines.gauge("edge.damaged", figures.damaged);
+            lines.gauge("edge.oldest_s", figures.oldest_s as usize);
+            lines.gauge("edge.isolated", usize::from(figures.isolated));
+        }
         lines.count("sighup_applied", self.reloaded.applied.get());
         lines.count("sighup_rejected", self.reloaded.rejected.get());
         lines.into_string()
--- a/crates/plankvale/tests/sidecar/main.rs
+++ b/crates/plankvale/tests/sidecar/main.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod clients;
 mod early;
+mod edge;
 mod fleet;
 mod framing;
 mod large;
