Forecast: what a change of placement does to hits, from thin samples, with intervals

millethook-forecast holds a spatial sample of accesses (SHARDS), plays it on warm stores before and after a change, and tells hit rates in the first 1, 10 and 60 s and at rest, by server, zone and class, with an interval from ten parts, or that there is too little to go by. Connections and servers' memory are one engine.

Five rules taken out are each missed. The daemon does not use it yet.

--- /dev/null
+++ b/crates/millethook-forecast/src/sample.rs
@@ -0,0 +1,115 @@
+//! A thin sample of accesses: all those of the items whose hash is below a threshold.
+
+use std::collections::VecDeque;
+
+use millethook_machine::hash::mix;
+
+use crate::Micros;
+use crate::mutant::{self, Mutant};
+
+/// Accesses that a sample holds, at most; of more it is thinned by half.
+pub const MOST_ACCESSES: usize = 32_768;
+
+/// One access.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Access {
+    /// When, in microseconds.
+    pub at: Micros,
+    /// Of what: a hash of the key, or of the sidecar whose connection it is.
+    pub item: u64,
+    /// The zone that it came from.
+    pub zone: u8,
+    /// Its class.
+    pub class: u8,
+    /// How long it holds what it uses, in microseconds: a connection is in use meanwhile.
+    pub holds: Micros,
+}
+
+/// The accesses of some of the items, of a time that has passed.
+#[derive(Clone, Debug)]
+pub struct Sample {
+    /// Items whose spread hash is below this are sampled.
+    threshold: u64,
+    span: Micros,
+    accesses: VecDeque<Access>,
+    seen: u64,
+}
+
+impl Sample {
+    /// One that takes this share of the items, and remembers this long.
+    pub fn new(share: f64, span: Micros) -> Sample {
+        let threshold = (share.clamp(0.0, 1.0) * u64::MAX as f64) as u64;
+        Sample { threshold, span, accesses: VecDeque::new(), seen: 0 }
+    }
+
+    /// The share of items that it takes.
+    pub fn share(&self) -> f64 {
+        self.threshold as f64 / u64::MAX as f64
+    }
+
+    /// How long it remembers.
+    pub fn span(&self) -> Micros {
+        self.span
+    }
+
+    /// Its accesses, by time.
+    pub fn accesses(&self) -> impl DoubleEndedIterator<Item = &Access> + Clone {
+        self.accesses.iter()
+    }
+
+    /// How many it holds.
+    pub fn len(&self) -> usize {
+        self.accesses.len()
+    }
+
+    /// Whether it holds none.
+    pub fn is_empty(&self) -> bool {
+        self.accesses.is_empty()
+    }
+
+    /// Whether an item is one that is sampled.
+    pub fn takes(&self, item: u64) -> bool {
+        mix(item) <= self.threshold
+    }
+
+    /// Takes an access, if its item is sampled. Times need not be in order; what is older than the span is passed over.
+    pub fn take(&mut self, access: Access) {
+        self.seen += 1;
+        if !self.takes(access.item) && !mutant::is(Mutant::AllSampled) {
+            return;
+        }
+        let last = self.accesses.back().map_or(0, |a| a.at).max(access.at);
+        if access.at + self.span < last {
+            return;
+        }
+        // Others' accesses come late: each goes where it belongs.
+        let behind = self.accesses.iter().rev().take_while(|a| a.at > access.at).count();
+        self.accesses.insert(self.accesses.len() - behind, access);
+        while self.accesses.front().is_some_and(|a| a.at + self.span < last) {
+            self.accesses.pop_front();
+        }
+        while self.accesses.len() > MOST_ACCESSES {
+            self.thin();
+        }
+    }
+
+    /// Half of the items from now on: those with the lower hashes, as any sample of that share has.
+    fn thin(&mut self) {
+        self.threshold /= 2;
+        let threshold = self.threshold;
+        self.accesses.retain(|a| mix(a.item) <= threshold);
+    }
+
+    /// Merges another sidecar's sample: of both, the items that both take. The other's clock is `ahead` of the own one.
+    pub fn merge(&mut self, other: &Sample, ahead: i64) {
+        if other.threshold < self.threshold {
+            self.threshold = other.threshold;
+            let threshold = self.threshold;
+            self.accesses.retain(|a| mix(a.item) <= threshold);
+        }
+        for access in &other.accesses {
+            let at = access.at.saturating_add_signed(-ahead);
+            self.take(Access { at, ..*access });
+        }
+    }
+}
