Check what may never be inside view, replica and channel, and mend a datagram of 257 bytes

The state machines between sidecars had tests of what comes out, and none of what may never be inside. View, replica and channel now each have a check() that names its rules; the tests' fleets call it after each step, as those of lease and edge do. Without a caller it costs nothing.

The channel's check found one: where a frame had 255 bytes, an empty record still counted as fitting (the room was reckoned without going below 0), and a datagram of 257 bytes went out, which the sender then drops (frame.rs, push).

--- a/crates/millethook-frames/src/channel.rs
+++ b/crates/millethook-frames/src/channel.rs
@@ -4,6 +4,8 @@
 
 use std::collections::VecDeque;
 
+use millethook_machine::Violation;
+
 use crate::frame::{FrameWriter, Header, MOST_RECORD};
 
 /// Microseconds.
@@ -153,6 +155,32 @@
         Some((to, bytes))
     }
 
+    /// Looks at every rule of the channel.
+    ///
+    /// # Errors
+    /// The first one that is broken, with the values.
+    pub fn check(&self) -> Result<(), Violation> {
+        let rule = Violation::unless;
+        for queue in &self.queues {
+            let waits = queue.waiting.len();
+            rule(waits <= WAITING, "messages that wait are bounded", &|| waits.to_string())?;
+            let long = queue.waiting.iter().map(|(_, content)| content.len()).max().unwrap_or(0);
+            rule(long <= MOST_RECORD, "a message fits a datagram", &|| long.to_string())?;
+        }
+        rule(self.left <= self.burst, "no more is saved up than the burst", &|| {
+            format!("{} of {}", self.left, self.burst)
+        })?;
+        rule(self.left >= -ROUNDING, "no more goes out than the budget allows", &|| {
+            self.left.to_string()
+        })?;
+        let Counts { datagrams, bytes, .. } = self.counts;
+        rule(
+            bytes <= datagrams * crate::LONGEST as u64,
+            "a datagram has 256 bytes at most",
+            &|| format!("{bytes} bytes in {datagrams}"),
+        )
+    }
+
     /// When the budget next allows what waits; None: nothing waits.
     pub fn poll_timeout(&self) -> Option<Micros> {
         if self.queues.iter().all(|q| q.waiting.is_empty()) {
--- a/crates/millethook-frames/src/frame.rs
+++ b/crates/millethook-frames/src/frame.rs
@@ -115,7 +115,8 @@
 
     /// Adds a record; false: it does not fit, and nothing has changed.
     pub fn push(&mut self, kind: u8, content: &[u8]) -> bool {
-        let fits = content.len() <= self.room();
+        // Danger: where not even a record's head has room, an empty one would go beyond the end.
+        let fits = self.0.len() + RECORD_HEADER + content.len() <= LONGEST;
         if fits {
             // What fits is shorter than 256.
             self.0.extend_from_slice(&[kind, content.len() as u8]);
--- a/crates/millethook-frames/tests/frames.rs
+++ b/crates/millethook-frames/tests/frames.rs
@@ -47,6 +47,7 @@
             while let Some((_, bytes)) = channel.poll(now, ME) {
                 sent += bytes.len() as u64;
             }
+            prop_assert_eq!(channel.check(), Ok(()));
             prop_assert!(sent as f64 <= 600.0 + now as f64 * 2e-3 + 2.0);
         }
         // All that waits goes out once the budget allows it.
--- /dev/null
+++ b/crates/millethook-replica/src/check.rs
@@ -0,0 +1,55 @@
+//! What may never be, by name.
+
+use millethook_machine::Violation;
+
+use crate::Micros;
+use crate::entry::{Key, Word};
+use crate::replica::{EVENTS, OUT, Replica};
+use crate::store::{MOST_DEPARTURES, MOST_EDGES, MOST_EVIDENCE, MOST_JOBS};
+
+impl Replica {
+    /// Looks at every rule of this copy.
+    ///
+    /// # Errors
+    /// The first one that is broken, with the values.
+    pub fn check(&self, now: Micros) -> Result<(), Violation> {
+        let rule = Violation::unless;
+        let counts = self.store.counted();
+        let most = [MOST_EVIDENCE, MOST_DEPARTURES, MOST_JOBS, MOST_EDGES];
+        let bounded = counts.iter().zip(most).all(|(count, most)| *count <= most);
+        rule(bounded, "entries of each kind are bounded", &|| format!("{counts:?}"))?;
+        rule(counts == self.store.recounted(), "entries are counted once", &|| {
+            format!("{counts:?}, {:?} expected", self.store.recounted())
+        })?;
+        rule(self.out.len() <= OUT, "messages that wait are bounded", &|| {
+            self.out.len().to_string()
+        })?;
+        rule(self.events.len() <= EVENTS, "events that wait are bounded", &|| {
+            self.events.len().to_string()
+        })?;
+        let same = self.news.len() == self.told.len();
+        rule(same, "what is told has one place in the order", &|| {
+            format!("{} and {}", self.news.len(), self.told.len())
+        })?;
+        for server in self.standings.keys() {
+            rule(
+                self.listed.contains_key(server),
+                "only listed servers stand for anything",
+                &|| server.to_string(),
+            )?;
+        }
+        let me = self.config.me;
+        for (key, entry) in self.store.iter(now) {
+            let (Key::Evidence { author, .. }, Word::Evidence { author_epoch, counter, .. }) =
+                (key, entry.word)
+            else {
+                continue;
+            };
+            let own = author == me && author_epoch == self.config.epoch;
+            rule(!own || counter <= self.counter, "nobody else writes in the own name", &|| {
+                format!("{key:?}: {counter}, {} said", self.counter)
+            })?;
+        }
+        Ok(())
+    }
+}
--- a/crates/millethook-replica/src/replica.rs
+++ b/crates/millethook-replica/src/replica.rs
@@ -93,24 +93,24 @@
 const EQUAL: u32 = 4;
 /// Messages to one that has come, and those that are to go out, at most.
 const WELCOMES: usize = 16;
-const OUT: usize = 64;
-const EVENTS: usize = 1024;
+pub(crate) const OUT: usize = 64;
+pub(crate) const EVENTS: usize = 1024;
 /// Servers of which the list was told, at most.
 const LISTED: usize = 65_536;
 
 /// The copy that one process holds.
 #[derive(Clone)]
 pub struct Replica {
-    config: ReplicaConfig,
-    store: Store,
+    pub(crate) config: ReplicaConfig,
+    pub(crate) store: Store,
     witness: Witness,
-    listed: BTreeMap<u64, Epoch>,
-    standings: BTreeMap<u64, Standing>,
+    pub(crate) listed: BTreeMap<u64, Epoch>,
+    pub(crate) standings: BTreeMap<u64, Standing>,
     /// What is to be told: how often it was, in which order it came.
-    news: BTreeSet<(u32, u64, Key)>,
-    told: BTreeMap<Key, (u32, u64)>,
+    pub(crate) news: BTreeSet<(u32, u64, Key)>,
+    pub(crate) told: BTreeMap<Key, (u32, u64)>,
     next_news: u64,
-    counter: u32,
+    pub(crate) counter: u32,
     random: Pcg32,
     next_gossip: Micros,
     next_compare: Micros,
@@ -119,8 +119,8 @@
     /// The own hash, and how many messages in a row had the same.
     equal: (u32, u32),
     congested: bool,
-    out: VecDeque<(To, Vec<u8>)>,
-    events: VecDeque<Event>,
+    pub(crate) out: VecDeque<(To, Vec<u8>)>,
+    pub(crate) events: VecDeque<Event>,
     figures: Figures,
 }
 
--- a/crates/millethook-replica/src/store.rs
+++ b/crates/millethook-replica/src/store.rs
@@ -53,6 +53,18 @@
         self.entries.len()
     }
 
+    /// Entries by kind, as they are counted.
+    pub fn counted(&self) -> [usize; 4] {
+        self.counts
+    }
+
+    /// Entries by kind, counted anew.
+    pub fn recounted(&self) -> [usize; 4] {
+        let mut counts = [0; 4];
+        self.entries.keys().for_each(|key| counts[kind(*key)] += 1);
+        counts
+    }
+
     pub fn get(&self, key: Key, now: Micros) -> Option<Entry> {
         let held = self.entries.get(&key)?;
         let age = held.age(now);
--- a/crates/millethook-replica/tests/common/mod.rs
+++ b/crates/millethook-replica/tests/common/mod.rs
@@ -5,6 +5,7 @@
 
 use std::ops::{Deref, DerefMut};
 
+use millethook_machine::Violation;
 pub use millethook_machine::sim::S;
 use millethook_machine::sim::{Fleet, Machine};
 use millethook_replica::{Micros, Replica, ReplicaConfig, Seen, Standing, To};
@@ -37,6 +38,9 @@
     fn set_congested(&mut self, congested: bool) {
         self.0.set_congested(congested);
     }
+    fn check(&self, now: Micros) -> Result<(), Violation> {
+        self.0.check(now)
+    }
 }
 
 pub struct Sim {
@@ -99,6 +103,7 @@
     }
 
     pub fn with(&mut self, number: u16, act: impl FnOnce(&mut Replica, Micros)) {
+        self.sound();
         self.fleet.with(number, |held, now| act(&mut held.0, now));
     }
 
@@ -113,7 +118,9 @@
     /// Runs until something holds, looked at every hundredth of a second; how long it took, or None: not in time.
     pub fn run_until(&mut self, most: Micros, good: impl Fn(&Sim) -> bool) -> Option<Micros> {
         let begin = self.now;
+        self.sound();
         while !good(self) {
+            self.sound();
             if self.now >= begin + most {
                 return None;
             }
@@ -130,6 +137,11 @@
         self.machines().map(|held| &held.0)
     }
 
+    /// No machine has found a rule broken so far.
+    pub fn sound(&self) {
+        assert_eq!(self.violation, None);
+    }
+
     /// Whether all copies are equal.
     pub fn agree(&self) -> bool {
         let mut hashes = self.replicas().map(|r| r.hash(self.now));
--- a/crates/millethook-view/src/view.rs
+++ b/crates/millethook-view/src/view.rs
@@ -1,5 +1,6 @@
 //! The state machine.
 
+mod check;
 mod hear;
 mod repair;
 
--- /dev/null
+++ b/crates/millethook-view/src/view/check.rs
@@ -0,0 +1,48 @@
+//! What may never be, by name.
+
+use millethook_machine::Violation;
+
+use super::{EVENTS, OUT, RELAYED, View};
+use crate::fact::{MOST_EPOCH, Status};
+
+impl View {
+    /// Looks at every rule of this member.
+    ///
+    /// # Errors
+    /// The first one that is broken, with the values.
+    pub fn check(&self) -> Result<(), Violation> {
+        let rule = Violation::unless;
+        rule(self.out.len() <= OUT, "messages that wait are bounded", &|| {
+            self.out.len().to_string()
+        })?;
+        rule(self.events.len() <= EVENTS, "events that wait are bounded", &|| {
+            self.events.len().to_string()
+        })?;
+        rule(self.relayed.len() <= RELAYED, "probes for others are bounded", &|| {
+            self.relayed.len().to_string()
+        })?;
+        let counts = self.table.counts;
+        let sum = counts.unknown + counts.alive + counts.suspect + counts.dead + counts.left;
+        rule(sum == self.table.len(), "each member is counted once", &|| format!("{counts:?}"))?;
+        let hash = self.table.range_hash(0..self.table.len());
+        rule(hash == self.table.hash, "the hash is that of the table", &|| {
+            format!("{:08x}, {hash:08x} expected", self.table.hash)
+        })?;
+        let own = self.table.status(self.me());
+        rule(
+            matches!(own, Status::Alive | Status::Left),
+            "nobody takes himself for dead",
+            &|| format!("{own:?}"),
+        )?;
+        rule((1..=MOST_EPOCH).contains(&self.epoch()), "an epoch has 48 bits", &|| {
+            self.epoch().to_string()
+        })?;
+        for number in self.suspicions.keys() {
+            let status = self.table.status(*number);
+            rule(status == Status::Suspect, "who is waited for is a suspect", &|| {
+                format!("{number}: {status:?}")
+            })?;
+        }
+        Ok(())
+    }
+}
--- a/crates/millethook-view/tests/common/mod.rs
+++ b/crates/millethook-view/tests/common/mod.rs
@@ -16,6 +16,9 @@
 /// What a datagram costs beside its content: the frame's header and the record's.
 pub const OVERHEAD: u64 = 15;
 
+/// Each view of a fleet of up to this size is looked at after each step.
+const SMALL: usize = 64;
+
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Arrives { to: u16, from: u16, epoch: u64, content: Vec<u8> },
@@ -190,10 +193,13 @@
 
     /// Sends what a view has to send, and has it called in time.
     fn after(&mut self, number: u16) {
-        let now = self.now;
+        let (now, count) = (self.now, self.nodes.len());
         let mut out = Vec::new();
         let node = &mut self.nodes[usize::from(number)];
         let Some(view) = &mut node.view else { return };
+        if count <= SMALL {
+            assert_eq!(view.check(), Ok(()), "member {number}");
+        }
         let epoch = view.epoch();
         while let Some(message) = view.poll_transmit() {
             out.push(message);
--- a/crates/millethook-view/tests/explore.rs
+++ b/crates/millethook-view/tests/explore.rs
@@ -63,6 +63,7 @@
     fn collect(&mut self) {
         for n in 0..self.views.len() {
             let Some(view) = &mut self.views[n] else { continue };
+            assert_eq!(view.check(), Ok(()), "member {n}");
             while let Some((to, content)) = view.poll_transmit() {
                 let message = (to, view.me(), view.epoch(), content);
                 self.under_way.push(message);
