--- a/crates/plankvale/tests/sidecar/edge.rs
+++ b/crates/plankvale/tests/sidecar/edge.rs
@@ -253,10 +253,11 @@
     let agent = Agent::start(vec![host("s-end", server.address)]);
     let sidecar = site.start(&agent);
     let calm = |s: &Sidecar| s.figure("sidecar.edge.left") == s.figure("sidecar.edge.doubt");
-    let end = Instant::now() + Duration::from_secs(600);
+    let end = Instant::now() + Duration::from_secs(300);
     let mut stores = 0;
     while stores < kills / 2 || !calm(&sidecar) {
-        assert!(Instant::now() < end, "not replayed");
+        let (left, doubt) = (sidecar.figure("sidecar.edge.left"), sidecar.figure("sidecar.edge.doubt"));
+        assert!(Instant::now() < end, "{stores} stores, {left} left, {doubt} in doubt");
         std::thread::sleep(Duration::from_millis(200));
         stores = sidecar.figure("sidecar.edge.stores") as usize;
     }
