--- a/crates/plankvale/tests/sidecar/edge.rs
+++ b/crates/plankvale/tests/sidecar/edge.rs
@@ -256,7 +256,8 @@
     let end = Instant::now() + Duration::from_secs(300);
     let mut stores = 0;
     while stores < kills / 2 || !calm(&sidecar) {
-        let (left, doubt) = (sidecar.figure("sidecar.edge.left"), sidecar.figure("sidecar.edge.doubt"));
+        let (left, doubt) =
+            (sidecar.figure("sidecar.edge.left"), sidecar.figure("sidecar.edge.doubt"));
         assert!(Instant::now() < end, "{stores} stores, {left} left, {doubt} in doubt");
         std::thread::sleep(Duration::from_millis(200));
         stores = sidecar.figure("sidecar.edge.stores") as usize;
