--- /dev/null
+++ b/crates/millethook-engine/src/upstream/attempt/collected.rs
@@ -0,0 +1,34 @@
+//! An answer that is held whole.
+
+use bytes::{Bytes, BytesMut};
+
+/// A body's pieces; one alone is not copied.
+#[derive(Default)]
+pub(super) struct Collected {
+    first: Bytes,
+    rest: BytesMut,
+}
+
+impl Collected {
+    pub fn len(&self) -> usize {
+        self.first.len() + self.rest.len()
+    }
+
+    pub fn push(&mut self, piece: Bytes) {
+        if self.first.is_empty() {
+            self.first = piece;
+        } else {
+            self.rest.extend_from_slice(&piece);
+        }
+    }
+
+    pub fn take(self) -> Bytes {
+        if self.rest.is_empty() {
+            return self.first;
+        }
+        let mut all = BytesMut::with_capacity(self.len());
+        all.extend_from_slice(&self.first);
+        all.extend_from_slice(&self.rest);
+        all.freeze()
+    }
+}
