--- a/crates/coppercart/src/api.rs
+++ b/crates/coppercart/src/api.rs
@@ -157,6 +157,8 @@
         id: RequestId,
         server: ServerId,
         timeout: Micros,
+        /// What would make it run has to be out within this time, or must not go out.
+        commit_within: Micros,
     },
     Cancel {
         id: RequestId,
--- a/crates/coppercart/src/decide/rules.rs
+++ b/crates/coppercart/src/decide/rules.rs
@@ -11,8 +11,12 @@
         let all = (0..self.attempts.len()).filter(of);
         out.extend(all.map(|attempt| Action::Cancel { id, attempt }));
     }
+    /// The attempts that may have run, or may yet.
+    fn touching(&self) -> impl Iterator<Item = &Attempt> {
+        self.attempts.iter().filter(|a| a.fate != Fate::NeverRan)
+    }
     pub(super) fn untouched(&self) -> bool {
-        self.attempts.iter().all(|a| a.fate == Fate::NeverRan)
+        self.touching().next().is_none()
     }
 }
 
@@ -32,16 +36,10 @@
         match class.repeat {
             Repeat::Safe => true,
             Repeat::Unsafe => request.untouched(),
-            Repeat::Keyed => {
-                request.attempts.iter().filter(|a| a.fate != Fate::NeverRan).all(|a| {
-                    self.now - a.sent < class.window
-                        && match class.dedup_scope {
-                            Scope::All => true,
-                            Scope::Zone => a.zone == s.zone,
-                            Scope::Cell => a.cell == s.cell,
-                        }
-                })
-            }
+            Repeat::Keyed => request.touching().all(|a| {
+                let shared = class.dedup_scope.shares((a.zone, a.cell), (s.zone, s.cell));
+                shared && self.now - a.sent < class.window
+            }),
         }
     }
 
@@ -60,12 +58,15 @@
         let Some(request) = self.requests.get(&id) else {
             return false;
         };
-        let s = &self.servers[slot];
+        let (now, s) = (self.now, &self.servers[slot]);
         if s.health != Health::Ready || !self.allowed(request, s) {
             return false;
         }
-        let now = self.now;
         let left = request.deadline - now;
+        // Danger: copies count when they are out, not when they are decided on. One whose connection is late, and
+        // one that was first and is later still, both have to be out within the window of the first decision.
+        let since = now - request.touching().map(|a| a.sent).min().unwrap_or(now);
+        let window = self.settings.classes[request.class].commit_window() - since;
         let s = &mut self.servers[slot];
         if s.chips > 0 {
             s.chips -= 1;
@@ -77,7 +78,7 @@
         let (server, zone, cell) = (s.id, s.zone, s.cell);
         let attempt =
             Attempt { slot, server, zone, cell, sent: now, fate: Fate::Out, begun: false };
-        out.push(Action::Send { id, server, timeout: left });
+        out.push(Action::Send { id, server, timeout: left, commit_within: left.min(window) });
         if let Some(request) = self.requests.get_mut(&id) {
             request.attempts.push(attempt);
         }
--- a/crates/coppercart/src/decide/servers.rs
+++ b/crates/coppercart/src/decide/servers.rs
@@ -12,25 +12,20 @@
 impl Balancer {
     pub(super) fn list(&mut self, kind: ListKind, entries: &[ServerEntry], out: &mut Vec<Action>) {
         let asked = self.settings.discovery == Discovery::Asked;
-        match kind {
-            ListKind::Failed => {
-                // Danger: thousands of sidecars that lose discovery together would call it down
-                // again together. Each waits a random, growing time, well within `mustAskIn`.
-                if asked {
-                    let most = (self.settings.rules.must_ask_in.max(4) / 2) as f64;
-                    let wait = most / f64::from(4 >> self.subscribe_failures.min(2));
-                    self.subscribe_failures += 1;
-                    let wait = (wait * (0.25 + 0.75 * self.uniform())) as Micros;
-                    self.set_alarm(wait, Alarm::Subscribe, out);
-                }
-                return;
-            }
-            ListKind::Remembered if asked => {
-                let wait =
-                    (self.uniform() * self.settings.rules.must_ask_in as f64 / 2.0) as Micros;
-                self.set_alarm(wait, Alarm::Subscribe, out);
-            }
-            _ => self.subscribe_failures = 0,
+        let failed = kind == ListKind::Failed;
+        if asked && (failed || kind == ListKind::Remembered) {
+            // Danger: thousands of sidecars that lose discovery or start together would call it down together. Each
+            // waits a random time that grows with failures, and none for longer than news may take.
+            let share = if failed { 4 >> self.subscribe_failures.min(2) } else { 1 };
+            let most = self.settings.rules.ask_spread(share) as f64;
+            let wait = most * if failed { 0.25 + 0.75 * self.uniform() } else { self.uniform() };
+            self.subscribe_failures += u32::from(failed);
+            self.set_alarm(wait as Micros, Alarm::Subscribe, out);
+        } else if !failed {
+            self.subscribe_failures = 0;
+        }
+        if failed {
+            return;
         }
         if kind != ListKind::Changes {
             let listed: rustc_hash::FxHashSet<ServerId> = entries.iter().map(|e| e.id).collect();
--- a/crates/coppercart/src/settings.rs
+++ b/crates/coppercart/src/settings.rs
@@ -26,6 +26,17 @@
     Cell,
 }
 
+impl Scope {
+    /// Whether servers at these places (zone and cell) know of each other's keyed requests.
+    pub fn shares(self, a: (u8, u16), b: (u8, u16)) -> bool {
+        match self {
+            Scope::All => true,
+            Scope::Zone => a.0 == b.0,
+            Scope::Cell => a.1 == b.1,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 pub enum ReportHow {
     #[serde(rename = "piggyback")]
@@ -88,6 +99,13 @@
     pub retired: bool,
 }
 
+impl Class {
+    /// The time within which all attempts of a request have to be out that may have run.
+    pub fn commit_window(&self) -> Micros {
+        if self.repeat == Repeat::Keyed { self.window } else { Micros::MAX }
+    }
+}
+
 #[derive(Clone, Debug, Deserialize, Default)]
 #[serde(rename_all = "camelCase", default)]
 pub struct Goal {
@@ -180,6 +198,19 @@
     pub tip_after: Micros,
 }
 
+/// What discovery has to tell counts as told so long after it had it and could be reached, whatever has failed before.
+const TOLD_AFTER: Micros = 6_000_000;
+/// The longest that a call may take which comes to nothing.
+const FUTILE_CALL: Micros = 2_000_000;
+
+impl Rules {
+    /// Where discovery is asked, the longest that a sidecar puts off a call, as a share of what the settings leave:
+    /// one that hung before it and one that is slow behind it still come in time.
+    pub fn ask_spread(&self, share: u64) -> Micros {
+        (self.must_ask_in.max(4) / 2 / share).min(TOLD_AFTER - 2 * FUTILE_CALL)
+    }
+}
+
 #[derive(Clone, Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Tenant {
--- a/crates/coppercart/src/wire.rs
+++ b/crates/coppercart/src/wire.rs
@@ -368,7 +368,8 @@
 
     pub fn action(&mut self, a: &Action) {
         match a {
-            Action::Send { id, server, timeout } => {
+            // There it is out at once.
+            Action::Send { id, server, timeout, commit_within: _ } => {
                 let head: [u8; 14] = join(&id.0.to_le_bytes(), &server.0.to_le_bytes()[..6]);
                 let rec: [u8; 18] = join(&head, &span(*timeout).to_le_bytes());
                 self.push(action::CALL_OUT, &rec);
--- a/crates/coppercart/tests/decide.rs
+++ b/crates/coppercart/tests/decide.rs
@@ -341,14 +341,17 @@
     for seed in 0..20 {
         let asked = settings(|s| s["discovery"] = "on_request".into());
         let mut b = Bench::new(asked, seed, &[server(0)]);
-        let out = b.servers(ListKind::Failed, &[]);
-        let Some(Action::Timer { delay, token }) = out.first() else {
-            panic!("no timer: {out:?}");
-        };
-        assert!((S / 4..=10 * S).contains(delay), "{delay}");
-        b.now += delay;
-        let again = b.event(Event::Timer { token: *token });
-        assert!(again.contains(&Action::Subscribe));
+        for _ in 0..8 {
+            let out = b.servers(ListKind::Failed, &[]);
+            let Some(Action::Timer { delay, token }) = out.first() else {
+                panic!("no timer: {out:?}");
+            };
+            // However often it failed: a call that hangs for 2 s, this wait and one that takes 2 s are 6 s.
+            assert!((S / 4..=2 * S).contains(delay), "{delay}");
+            b.now += delay;
+            let again = b.event(Event::Timer { token: *token });
+            assert!(again.contains(&Action::Subscribe));
+        }
     }
 }
 
--- a/crates/coppercart/tests/replay.rs
+++ b/crates/coppercart/tests/replay.rs
@@ -69,6 +69,10 @@
             if !matches!(action, Action::Timer { .. }) {
                 self.text.clear();
                 write!(self.text, "{action:?}").expect("a string takes all");
+                // How long a send has to go out came later than the digests; the rules' test judges it.
+                if let Some(at) = self.text.find(", commit_within") {
+                    self.text.replace_range(at.., " }");
+                }
                 for byte in self.text.bytes() {
                     self.digest = (self.digest ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
                 }
--- a/crates/coppercart/tests/rules.rs
+++ b/crates/coppercart/tests/rules.rs
@@ -68,7 +68,7 @@
 
     fn check(&mut self, action: Action) {
         match action {
-            Action::Send { id, server, timeout } => {
+            Action::Send { id, server, timeout, commit_within } => {
                 assert!(self.healthy.contains(&server), "rule 3: {server:?}");
                 let zone = (server.0 % 2) as u8;
                 let may_duplicate = self.may_duplicate;
@@ -81,6 +81,10 @@
                 match CLASSES[b.class].0 {
                     "unsafe" => assert!(b.sent.iter().all(|s| s.never_ran), "rule 2"),
                     "keyed" => {
+                        // All have to be out within the window of the first.
+                        let first = b.sent.iter().filter(|s| !s.never_ran).map(|s| s.at).min();
+                        let end = self.now + commit_within;
+                        assert!(end <= first.unwrap_or(self.now) + WINDOW, "rule 2: out too late");
                         for s in b.sent.iter().filter(|s| !s.never_ran) {
                             assert_eq!(s.zone, zone, "rule 2: another group");
                             assert!(self.now - s.at <= WINDOW, "rule 2: window over");
--- a/crates/coppercart/tests/wire.rs
+++ b/crates/coppercart/tests/wire.rs
@@ -80,7 +80,12 @@
     );
     let mut reply = Reply::default();
     reply.at(3);
-    reply.action(&Action::Send { id: RequestId(CALL), server: ServerId(SERVER), timeout: 80_000 });
+    reply.action(&Action::Send {
+        id: RequestId(CALL),
+        server: ServerId(SERVER),
+        timeout: 80_000,
+        commit_within: 80_000,
+    });
     reply.action(&Action::Timer { delay: 500_000, token: 77 });
     reply.at(5);
     reply.action(&Action::Log { text: "two servers known".into() });
--- a/crates/millethook-engine/src/driver/attempts.rs
+++ b/crates/millethook-engine/src/driver/attempts.rs
@@ -16,17 +16,22 @@
 use super::request::{Reply, StreamingReply};
 use crate::figures::Disposition;
 use crate::upload::Upload;
-use crate::upstream::{AttemptOutcome, AttemptRequest, Head, StreamingResponse};
+use crate::upstream::{AttemptOutcome, AttemptRequest, Gate, Head, StreamingResponse};
 
 /// A server that stops within an answer for so long will not go on with it.
 const SERVER_STALL: Duration = Duration::from_secs(10);
 
 impl Driver {
-    pub(super) fn send(self: &Rc<Driver>, id: RequestId, server: ServerId, wait: Micros) {
+    pub(super) fn send(
+        self: &Rc<Driver>,
+        id: RequestId,
+        server: ServerId,
+        (wait, commit_within): (Micros, Micros),
+    ) {
         let (cancel, cancelled) = oneshot::channel();
         let (n, way) = {
             let mut core = self.core.borrow_mut();
-            let dial = core.servers.get(&server).copied();
+            let listed = core.servers.get(&server).cloned();
             let Some(request) = core.requests.get_mut(&id) else {
                 drop(core);
                 return self.moot(id, 0, server);
@@ -34,17 +39,31 @@
             request.attempts.push(Some(cancel));
             let spec =
                 request.spec.clone().filter(|_| !request.ended() && request.streaming.is_none());
-            (request.attempts.len() - 1, spec.zip(dial))
+            (request.attempts.len() - 1, spec.zip(listed))
         };
-        let Some((spec, dial)) = way else {
+        let Some((spec, listed)) = way else {
             return self.moot(id, n, server);
         };
+        let now = Instant::now();
+        // The time of a body that is passed on is its own, and no second attempt can have it.
+        let commit_by = match spec.upload {
+            Some(_) => None,
+            None => Some(now + Duration::from_micros(commit_within)),
+        };
+        let gate = Gate { admission: listed.admission, commit_by };
         let wait = Duration::from_micros(wait);
-        self.reach.borrow_mut().sent(server, Instant::now());
+        self.reach.borrow_mut().sent(server, now);
         if let Some(fleet) = self.fleet.get() {
             fleet.sends_to(server);
         }
-        spawn_local(self.clone().attempt(id, n, (server, dial), spec, wait, cancelled));
+        spawn_local(self.clone().attempt(
+            id,
+            n,
+            (server, listed.dial),
+            spec,
+            (gate, wait),
+            cancelled,
+        ));
     }
 
     /// Tells, not before the present event is dealt with, that an attempt was never sent.
@@ -61,7 +80,7 @@
         n: usize,
         (server, dial): (ServerId, SocketAddr),
         spec: Rc<AttemptRequest>,
-        wait: Duration,
+        (gate, wait): (Gate, Duration),
         cancelled: oneshot::Receiver<()>,
     ) {
         let sent = Instant::now();
@@ -74,7 +93,7 @@
             |outcome| AttemptOutcome::End { outcome, report: LoadReport::default(), answer: None };
         let reached = {
             let upload = spec.upload.as_ref();
-            let mut attempt = pin!(self.upstream.attempt(server, dial, &spec, sent + wait));
+            let mut attempt = pin!(self.upstream.attempt((server, dial), &spec, gate, sent + wait));
             let mut passed_on = upload.is_none();
             let attempt = poll_fn(|cx| {
                 let reached = attempt.as_mut().poll(cx);
@@ -141,7 +160,7 @@
                 return Outcome::Cancelled;
             };
             request.streaming = Some(n);
-            request.spec = None;
+            request.withdraw();
             let head = std::mem::take(&mut long.head);
             let _ =
                 reply.send(Reply::Streaming(StreamingReply { head, length: long.length, pieces }));
@@ -209,7 +228,7 @@
             }
             finished = request.ended();
             if finished {
-                request.spec = None;
+                request.withdraw();
             }
         }
         self.event(Event::Answer { id, attempt, server, outcome, latency, finished, report });
--- a/crates/millethook-engine/src/driver/membership.rs
+++ b/crates/millethook-engine/src/driver/membership.rs
@@ -1,14 +1,16 @@
 //! Lists of servers on their way to the decisions, and where each server is.
 
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 
-use coppercart::api::{Event, ListKind, ServerId, Standing};
+use coppercart::api::{Event, Health, ListKind, ServerId, Standing};
 
-use super::Driver;
+use super::{Driver, ListedServer};
 use crate::fleet::Fleet;
 use crate::list::{Host, List};
 use crate::news::{MembershipSink, StandingSink};
+use crate::upstream::Admission;
 
 impl MembershipSink for Rc<Driver> {
     fn servers(&self, kind: ListKind, list: &List) {
@@ -35,6 +37,27 @@
     }
 }
 
+/// What attempts at a server go by from now on. One that may get nothing new, and one that is not what it was,
+/// ends what held before.
+fn admitted(before: Option<&ListedServer>, host: &Host, dial: SocketAddr) -> Admission {
+    let admission = match before {
+        Some(before) => {
+            let same = before.dial == dial && before.born_ms == host.born_ms;
+            if same && before.admission.holds() {
+                before.admission.clone()
+            } else {
+                before.admission.revoke();
+                Admission::new()
+            }
+        }
+        None => Admission::new(),
+    };
+    if host.state() != Health::Ready {
+        admission.revoke();
+    }
+    admission
+}
+
 impl Driver {
     /// What is met at servers goes to the fleet from now on, and what it makes of them to the decisions.
     pub fn shares_with(self: &Rc<Driver>, fleet: &Rc<Fleet>) {
@@ -51,9 +74,10 @@
                 // What a whole list lacks is gone.
                 let listed: HashSet<ServerId> = list.hosts.iter().map(Host::id).collect();
                 let mut lacking = Vec::new();
-                core.servers.retain(|id, _| {
+                core.servers.retain(|id, server| {
                     let kept = listed.contains(id);
                     if !kept {
+                        server.admission.revoke();
                         self.upstream.close_idle(*id, true);
                         lacking.push(*id);
                     }
@@ -68,14 +92,19 @@
                 // Danger: servers are ever new. One that is gone gets nothing more, and neither
                 // its address nor a connection to it is kept.
                 if host.is_gone() {
-                    core.servers.remove(&id);
+                    if let Some(server) = core.servers.remove(&id) {
+                        server.admission.revoke();
+                    }
                     self.upstream.close_idle(id, true);
                     continue;
                 }
                 let Some(dial) = host.dial else { continue };
-                if core.servers.insert(id, dial).is_some_and(|before| before != dial) {
+                let before = core.servers.get(&id);
+                if before.is_some_and(|before| before.dial != dial) {
                     self.upstream.close_idle(id, false);
                 }
+                let admission = admitted(before, host, dial);
+                core.servers.insert(id, ListedServer { dial, born_ms: host.born_ms, admission });
             }
             core.listed |= !list.hosts.is_empty();
             if core.listed {
--- a/crates/millethook-engine/src/driver/mod.rs
+++ b/crates/millethook-engine/src/driver/mod.rs
@@ -30,7 +30,7 @@
 use crate::fleet::Fleet;
 use crate::names::Names;
 use crate::news::PeerSender;
-use crate::upstream::{AttemptRequest, Calls, Upstream};
+use crate::upstream::{Admission, AttemptRequest, Calls, Upstream};
 
 use reach::Reach;
 use request::Pending;
@@ -45,11 +45,20 @@
 /// How long a server has for a connection that only tells whether it is there.
 const TRIAL: Duration = Duration::from_millis(500);
 
+/// A server of the list.
+#[derive(Clone)]
+struct ListedServer {
+    dial: SocketAddr,
+    born_ms: u64,
+    /// What attempts go by that are decided on from now on.
+    admission: Admission,
+}
+
 struct Core {
     balancer: Balancer,
     requests: FxHashMap<RequestId, Pending>,
     next_id: u64,
-    servers: FxHashMap<ServerId, SocketAddr>,
+    servers: FxHashMap<ServerId, ListedServer>,
     listed: bool,
 }
 
@@ -147,7 +156,9 @@
 
     fn carry_out(self: &Rc<Driver>, action: Action) {
         match action {
-            Action::Send { id, server, timeout } => self.send(id, server, timeout),
+            Action::Send { id, server, timeout, commit_within } => {
+                self.send(id, server, (timeout, commit_within));
+            }
             Action::Cancel { id, attempt } => {
                 let mut core = self.core.borrow_mut();
                 let request = core.requests.get_mut(&id).filter(|r| r.streaming.is_none());
@@ -166,7 +177,7 @@
             Action::Fail { id } => self.end(id, Reply::Failed),
             Action::Timer { delay, token } => self.timers.set(delay, token),
             Action::Probe { server } => {
-                let dial = self.core.borrow().servers.get(&server).copied();
+                let dial = self.core.borrow().servers.get(&server).map(|s| s.dial);
                 let driver = self.clone();
                 spawn_local(async move {
                     let sent = Instant::now();
@@ -232,7 +243,7 @@
                 return;
             };
             request.reply = None;
-            request.spec = None;
+            request.withdraw();
             // The decisions call off nothing whose bytes pass from side to side.
             let uploading = request.uploading.and_then(|n| request.attempts.get_mut(n)?.take());
             if let Some(cancel) = uploading {
@@ -307,7 +318,7 @@
     pub async fn try_any(&self, nth: usize) -> bool {
         let dial = {
             let core = self.core.borrow();
-            let mut dials: Vec<SocketAddr> = core.servers.values().copied().collect();
+            let mut dials: Vec<SocketAddr> = core.servers.values().map(|s| s.dial).collect();
             dials.sort_unstable();
             (!dials.is_empty()).then(|| dials[nth % dials.len()])
         };
@@ -327,7 +338,7 @@
 
     fn end(self: &Rc<Driver>, id: RequestId, reply: Reply) {
         if let Some(request) = self.core.borrow_mut().requests.get_mut(&id) {
-            request.spec = None;
+            request.withdraw();
             if let Some(to) = request.reply.take() {
                 let refused = matches!(reply, Reply::Refused { .. });
                 let how = if refused { Disposition::Declined } else { Disposition::Aborted };
--- a/crates/millethook-engine/src/driver/request.rs
+++ b/crates/millethook-engine/src/driver/request.rs
@@ -97,6 +97,13 @@
 }
 
 impl Pending {
+    /// No attempt may begin any more: it has its answer, or its client has gone.
+    pub fn withdraw(&mut self) {
+        if let Some(spec) = self.spec.take() {
+            spec.withdrawn.set(true);
+        }
+    }
+
     pub fn ended(&self) -> bool {
         self.reply.is_none() && self.streaming.is_none()
     }
--- a/crates/millethook-engine/src/upstream/attempt/mod.rs
+++ b/crates/millethook-engine/src/upstream/attempt/mod.rs
@@ -18,7 +18,7 @@
 use tokio::time::timeout;
 
 use super::connection::Lease;
-use super::{StreamingResponse, Upstream};
+use super::{Gate, StreamingResponse, Upstream};
 use crate::upload::LONGEST_UPLOAD;
 
 use collected::Collected;
@@ -98,9 +98,9 @@
     /// connection, too.
     pub async fn attempt(
         self: &Rc<Upstream>,
-        server: ServerId,
-        dial: SocketAddr,
+        (server, dial): (ServerId, SocketAddr),
         request: &Rc<AttemptRequest>,
+        gate: Gate,
         until: Instant,
     ) -> AttemptOutcome {
         let none = LoadReport::default;
@@ -110,7 +110,12 @@
                 Ok(found) => found,
                 Err(outcome) => return AttemptOutcome::end(outcome, none()),
             };
-            let running = match self.ask((server, dial), lease, rested, request, until).await {
+            if !gate.may_begin(request, Instant::now()) {
+                lease.give_back();
+                return AttemptOutcome::end(Outcome::Moot, none());
+            }
+            let at = (server, dial);
+            let running = match self.ask(at, lease, rested, request, &gate, until).await {
                 Ok((running, head)) => return self.answer(running, head, request).await,
                 Err(running) => running,
             };
@@ -122,6 +127,9 @@
             }
             // What broke is closed before another connection is looked for.
             drop(running);
+            if never_ran && !gate.may_commit(request, Instant::now()) {
+                return AttemptOutcome::end(Outcome::Moot, none());
+            }
             match (never_ran, rested) {
                 (false, _) => return AttemptOutcome::end(Outcome::Reset, none()),
                 (true, None) => return AttemptOutcome::end(Outcome::ConnectFailed, none()),
@@ -139,6 +147,7 @@
         lease: Lease,
         rested: Option<Duration>,
         request: &Rc<AttemptRequest>,
+        gate: &Gate,
         until: Instant,
     ) -> Result<(Running, ResponseHead), Running> {
         let now = Instant::now();
@@ -157,7 +166,7 @@
         }
         let figures = (!request.own_page).then(|| self.figures.clone());
         let message = (request.clone(), head);
-        let mut running = Running::new(lease, exchange, message, figures);
+        let mut running = Running::new(lease, exchange, message, gate.clone(), figures);
         let mut event = None;
         if let Some(trial) = trial {
             event = timeout(trial, running.event(false)).await.ok();
--- a/crates/millethook-engine/src/upstream/attempt/request.rs
+++ b/crates/millethook-engine/src/upstream/attempt/request.rs
@@ -1,5 +1,6 @@
 //! What an attempt sends.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use http::{HeaderMap, Method, Uri};
@@ -28,6 +29,8 @@
     pub account: ByteReservation,
     /// What follows the part of the body that is held.
     pub upload: Option<Upload>,
+    /// It has its answer, or its client has gone: no attempt of it may begin any more.
+    pub withdrawn: Cell<bool>,
 }
 
 impl AttemptRequest {
@@ -41,6 +44,7 @@
             aim: patience * HANDSHAKE_SHARE,
             account: ByteReservation::default(),
             upload: None,
+            withdrawn: Cell::default(),
         }
     }
 }
--- a/crates/millethook-engine/src/upstream/attempt/running.rs
+++ b/crates/millethook-engine/src/upstream/attempt/running.rs
@@ -4,11 +4,11 @@
 use std::io::IoSlice;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use millethook_connect::request::{LAST_CHUNK, PIECES, chunk};
-use millethook_connect::{EncodedRequest, Event, Exchange, Failure, Progress};
+use millethook_connect::{EncodedRequest, Event, Exchange, Execution, Failure, Progress};
 use smallvec::SmallVec;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -16,6 +16,7 @@
 use super::request::AttemptRequest;
 use crate::figures::Figures;
 use crate::upload::{Piece, Upload};
+use crate::upstream::Gate;
 use crate::upstream::connection::{Connection, Lease};
 
 /// How long an answer that has begun may stand still. It is written in one go, so what stops is cut
@@ -34,6 +35,8 @@
     pub exchange: Exchange,
     /// The request and its head, until all of it is out.
     message: Option<(Rc<AttemptRequest>, Vec<u8>)>,
+    /// What has to hold until it may have run.
+    gate: Gate,
     /// Told when all of it is out. None for a page of the server's own.
     figures: Option<Rc<Figures>>,
     /// The rest of a body, once this attempt has taken it.
@@ -68,9 +71,10 @@
         lease: Lease,
         exchange: Exchange,
         message: (Rc<AttemptRequest>, Vec<u8>),
+        gate: Gate,
         figures: Option<Rc<Figures>>,
     ) -> Running {
-        Running { lease, exchange, message: Some(message), figures, following: None }
+        Running { lease, exchange, message: Some(message), gate, figures, following: None }
     }
 
     /// Writes what may be written, and reads.
@@ -78,11 +82,16 @@
     /// Danger: a server that answers early may read the body all the same, and may need it to end its
     /// answer: what is left of the request goes out while the answer comes in.
     fn poll_step(&mut self, cx: &mut Context<'_>) -> Poll<Result<Step, Failure>> {
-        let Running { lease, exchange, message, figures, following } = self;
+        let Running { lease, exchange, message, gate, figures, following } = self;
         let Some(connection) = lease.connection() else {
             return Poll::Ready(Err(Failure::Closed));
         };
         if let Some((request, head)) = message {
+            let (from, to) = exchange.writable();
+            let commits = from < to && exchange.execution() == Execution::NeverRan;
+            if commits && !gate.may_commit(request, Instant::now()) {
+                return Poll::Ready(Err(Failure::Closed));
+            }
             loop {
                 write(cx, connection, exchange, &request.encoded, head, following);
                 if !exchange.wants_more() {
--- a/crates/millethook-engine/src/upstream/connection.rs
+++ b/crates/millethook-engine/src/upstream/connection.rs
@@ -169,6 +169,13 @@
         self.connection.as_mut()
     }
 
+    /// Nothing was sent on it: the connection rests.
+    pub fn give_back(mut self) {
+        if let Some(connection) = self.connection.take() {
+            self.upstream.release(self.server, connection);
+        }
+    }
+
     /// The exchange is over: the connection rests, if it may be used again, or is closed.
     pub fn end(mut self, exchange: &Exchange) {
         let Some(mut connection) = self.connection.take() else { return };
--- a/crates/millethook-engine/src/upstream/mod.rs
+++ b/crates/millethook-engine/src/upstream/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod connection;
+mod gate;
 mod probe;
 mod streaming;
 
@@ -29,6 +30,7 @@
 pub use attempt::{AttemptOutcome, AttemptRequest, Head};
 pub use connection::Calls;
 use connection::{Connection, Lease, Shared};
+pub use gate::{Admission, Gate};
 pub use probe::TrialPage;
 pub use streaming::StreamingResponse;
 
--- a/crates/millethook-engine/src/upstream/probe.rs
+++ b/crates/millethook-engine/src/upstream/probe.rs
@@ -10,8 +10,8 @@
 use millethook_membership::list::Host;
 use tokio::time::timeout;
 
-use super::Upstream;
 use super::attempt::{AttemptOutcome, AttemptRequest};
+use super::{Admission, Gate, Upstream};
 
 /// How a server of an old list shows that it is there.
 #[derive(Clone, Debug)]
@@ -34,7 +34,8 @@
         let patience = self.config.connect_timeout;
         let request = Rc::new(AttemptRequest::page(&path, patience));
         let until = Instant::now() + patience;
-        let asked = self.attempt(server, dial, &request, until);
+        let gate = Gate { admission: Admission::new(), commit_by: Some(until) };
+        let asked = self.attempt((server, dial), &request, gate, until);
         let asked = timeout(patience + Duration::from_secs(1), asked).await;
         let Ok(AttemptOutcome::End { outcome, answer, .. }) = asked else {
             return (Outcome::TimedOut, LoadReport::default());
@@ -55,7 +56,9 @@
         let Some(dial) = host.dial else { return TrialOutcome::Refused };
         let (patience, began) = (self.config.connect_timeout, Instant::now());
         let request = Rc::new(AttemptRequest::page(&trial.path, patience));
-        let asked = self.attempt(host.id(), dial, &request, began + 2 * patience);
+        let until = began + 2 * patience;
+        let gate = Gate { admission: Admission::new(), commit_by: Some(until) };
+        let asked = self.attempt((host.id(), dial), &request, gate, until);
         let Ok(AttemptOutcome::End { outcome, answer, .. }) = timeout(2 * patience, asked).await
         else {
             return TrialOutcome::Silent;
--- a/crates/millethook-engine/tests/cost.rs
+++ b/crates/millethook-engine/tests/cost.rs
@@ -60,6 +60,7 @@
         aim,
         account: ByteReservation::default(),
         upload: None,
+        withdrawn: Default::default(),
     };
     let head = RequestHead {
         class: 0,
--- a/crates/millethook-http/src/answer.rs
+++ b/crates/millethook-http/src/answer.rs
@@ -41,6 +41,7 @@
         aim: asked.aim,
         account,
         upload,
+        withdrawn: Default::default(),
     }
 }
 
--- a/crates/millethook-testkit/src/fault.rs
+++ b/crates/millethook-testkit/src/fault.rs
@@ -240,8 +240,8 @@
 /// An address at which connections never come up: its queue is full, and nobody accepts.
 pub struct Silent {
     pub address: SocketAddr,
-    _listener: socket2::Socket,
-    _queued: Vec<socket2::Socket>,
+    listener: socket2::Socket,
+    queued: Vec<socket2::Socket>,
 }
 
 impl Silent {
@@ -263,8 +263,30 @@
             let _ = client.connect(&address.into());
             client
         });
-        Silent { address, _queued: queued.collect(), _listener: listener }
+        Silent { address, queued: queued.collect(), listener }
     }
+
+    /// Accepts from now on: each connection that is not of the queue here gets `script`. One that was refused room
+    /// comes up once its system tries again, a second or three after its first try.
+    pub fn open(self, script: impl Fn(Conn) + Send + Sync + 'static) {
+        let listener: std::net::TcpListener = self.listener.into();
+        let script = Arc::new(script);
+        let own: Vec<Option<SocketAddr>> = self.queued.iter().map(own_address).collect();
+        std::thread::spawn(move || {
+            let _queued = self.queued;
+            for socket in listener.incoming().flatten() {
+                if own.contains(&socket.peer_addr().ok()) {
+                    continue;
+                }
+                let script = script.clone();
+                std::thread::spawn(move || script(Conn::new(socket)));
+            }
+        });
+    }
+}
+
+fn own_address(socket: &socket2::Socket) -> Option<SocketAddr> {
+    socket.local_addr().ok()?.as_socket()
 }
 
 /// A server whose work takes time and places, like a real one: so many requests at once, a queue
--- /dev/null
+++ b/crates/plankvale/tests/sidecar/narrow/commit.rs
@@ -0,0 +1,115 @@
+//! What was right when an attempt was decided on, and is so no more when its first byte could go out: the attempt's
+//! connection comes up late, and the other event has been seen by then.
+
+use std::sync::mpsc::{Receiver, channel};
+
+use millethook_testkit::*;
+use serde_json::{Value, json};
+
+/// Connections may come up late, and requests wait for that.
+fn patient(config: &mut Value) {
+    config["admin"] = json!("127.0.0.1:0");
+    let settings = &mut config["settings"];
+    settings["limits"]["connectTimeout"] = json!(5_000_000);
+    for class in settings["classes"].as_array_mut().unwrap() {
+        class["aim"] = json!(12_000_000);
+        class["deadline"] = json!(12_000_000);
+    }
+}
+
+fn long(request: String) -> String {
+    request.replace("X-Time-Left-Ms: 900", "X-Time-Left-Ms: 12000")
+}
+
+/// Waits until a request is under way: its attempt is opening a connection by then.
+fn taken(sidecar: &Sidecar) {
+    within("a request under way", || sidecar.figure("sidecar.outstanding") == 1);
+}
+
+/// Lets connections to a silent server come up; tells of each whether a request came on it.
+fn opened(silent: Silent) -> Receiver<bool> {
+    let (tell, told) = channel();
+    silent.open(move |mut conn| {
+        let got = conn.message().is_some();
+        let _ = tell.send(got);
+        conn.send(ok("a"));
+    });
+    told
+}
+
+/// Rule 3: a send counts from its first byte, so one that was decided on before the server began to drain, and whose
+/// connection comes up after its grace, would be one too late.
+#[test]
+fn a_server_that_drains_while_its_connection_comes_up_gets_no_request() {
+    for unlisted in [false, true] {
+        let (silent, b) = (Silent::start(), Server::named("b"));
+        let mut a = host("s-a", silent.address);
+        let agent = Agent::start(vec![a.clone()]);
+        let sidecar = Sidecar::start(&config(agent.address, patient));
+        let mut client = sidecar.client();
+        client.send(long(unsafe_with("x")));
+        taken(&sidecar);
+        a["health"] = json!("leaving");
+        let news = [host("s-b", b.address), a];
+        agent.change(news[..if unlisted { 1 } else { 2 }].to_vec());
+        // Another request shows that the news has come.
+        within("the news", || {
+            let mut witness = sidecar.client();
+            witness.send(safe());
+            witness.message().is_some_and(|m| m.body == b"b")
+        });
+        let told = opened(silent);
+        assert!(!next(&told), "a request to a server that drains");
+        // It never ran, so it goes elsewhere.
+        assert_eq!(client.message().unwrap().body, b"b");
+    }
+}
+
+/// A client that has gone is sent on for no more, also where servers' work may not be called off.
+#[test]
+fn a_request_whose_client_left_while_its_connection_came_up_is_not_sent() {
+    for cancel in [false, true] {
+        let silent = Silent::start();
+        let agent = Agent::start(vec![host("s-a", silent.address)]);
+        let sidecar = Sidecar::start(&config(agent.address, |c| {
+            patient(c);
+            c["settings"]["limits"]["cancel"] = json!(cancel);
+        }));
+        let mut client = sidecar.client();
+        client.send(long(safe()));
+        taken(&sidecar);
+        // Something behind it, which nobody reads while the request waits.
+        client.send("GET /look");
+        client.socket.shutdown(std::net::Shutdown::Write).unwrap();
+        assert!(client.ended());
+        within("no request", || sidecar.figure("sidecar.outstanding") == 0);
+        let told = opened(silent);
+        if !cancel {
+            assert!(!next(&told), "a request for nobody");
+        }
+        // Where the attempt is called off, no connection comes up: the next one is another request's.
+        assert_eq!(sidecar.ask(long(safe())).body, b"a");
+        assert!(next(&told));
+    }
+}
+
+/// Rule 2: copies of a keyed request count when their last byte is out, so each has to be out within the window of the
+/// first, or one could land when the servers have forgotten the other.
+#[test]
+fn a_keyed_request_is_not_sent_after_its_window() {
+    let silent = Silent::start();
+    let agent = Agent::start(vec![host("s-a", silent.address)]);
+    let sidecar = Sidecar::start(&config(agent.address, |c| {
+        patient(c);
+        c["settings"]["classes"][1]["window"] = json!(300_000);
+        c["settings"]["limits"]["maxAttempts"] = json!(1);
+    }));
+    let mut client = sidecar.client();
+    client.send(long(keyed()));
+    taken(&sidecar);
+    // The connection comes up when its system tries again, a second after the first time.
+    let told = opened(silent);
+    assert!(!next(&told), "a request after its window");
+    // It never ran: trying again is harmless.
+    assert_eq!(client.message().unwrap().status(), 503);
+}
