--- a/crates/plankvale/tests/sidecar/narrow/commit.rs
+++ b/crates/plankvale/tests/sidecar/narrow/commit.rs
@@ -24,6 +24,8 @@
 /// Waits until a request is under way: its attempt is opening a connection by then.
 fn taken(sidecar: &Sidecar) {
     within("a request under way", || sidecar.figure("sidecar.outstanding") == 1);
+    // That call may have come before the attempt's turn; the next one cannot.
+    assert_eq!(sidecar.figure("sidecar.outstanding"), 1);
 }
 
 /// Lets connections to a silent server come up; tells of each whether a request came on it.
