Lists: one loop that every move and call interrupts, and discoveries that count anew are followed

Seen, forced on sockets: where lists are asked for, a call that trickled at the old place kept from the new one for 3.0 s after SIGHUP (up to 6.5 s by the waits in line); a discovery whose versions began anew below ours was never understood again (20 s, then given up; the watch went on from the old version). Ruled out: pushed lists, whose loop was interrupted and asked for the whole list already. To blame: fetch_on_request awaited its Fetch outside the select; tell refused changes from before and kept the version, and nothing asked for the whole list. Change: one loop with one call in the select; 'whole' is the state of Discovery, set by a move or by versions from before. Kept, with no fault found: readiness while discovery refuses, hangs or says nothing; lists that are indented and come byte by byte; 200 idle clients with 128 descriptors.

--- a/crates/millethook-engine/src/discovery.rs
+++ b/crates/millethook-engine/src/discovery.rs
@@ -32,6 +32,9 @@
 /// How long a watch may be held where discovery is asked, and how much longer its answer may take. Danger: what a silent
 /// watch misses counts as told 6 s after it fell silent; the decisions wait for up to 1.25 s before they ask anew.
 const HOLD: Duration = Duration::from_secs(3);
+/// The same where lists are pushed.
+const PUSHED_HOLD: Duration = Duration::from_millis(500);
+/// How long the first byte of an answer may take, beyond that.
 const PATIENCE: Duration = Duration::from_millis(1500);
 /// Between calls that fail where lists are pushed: the agent is near, and free.
 const AGAIN: Duration = Duration::from_millis(100);
@@ -52,6 +55,8 @@
     connection: Option<(SendRequest<Empty<Bytes>>, AbortHandle)>,
     /// The version of the list at hand.
     version: u64,
+    /// The next call is for all of it.
+    whole: bool,
     tried: Rc<Notify>,
 }
 
@@ -64,7 +69,9 @@
         version: u64,
         tried: Rc<Notify>,
     ) -> Discovery {
-        Discovery { address, how, connection: None, version, tried }
+        // An agent is near, and all of its list costs nothing.
+        let whole = how == How::Pushed;
+        Discovery { address, how, connection: None, version, whole, tried }
     }
 
     /// Keeps the list as new as it can be; `calls` is what the module asks.
@@ -82,22 +89,17 @@
         news: &impl MembershipSink,
         mut calls: mpsc::UnboundedReceiver<Call>,
     ) {
-        let hold = Duration::from_millis(500);
-        let mut whole = true;
         let mut moves = self.address.clone();
         loop {
             tokio::select! {
                 // Danger: the old address may keep an open watch waiting, or accept a call that it
                 // never answers. It is left at once, also in the middle of a call.
                 Ok(()) = moves.changed() => {
-                    self.hang_up();
-                    // The versions there need not go on from those here.
-                    whole = true;
+                    self.start_over();
                     continue;
                 }
-                list = self.call((!whole).then_some(hold), GAP) => match list {
+                list = self.call(PUSHED_HOLD, GAP) => match list.filter(|list| self.tell(news, list)) {
                     Some(list) => {
-                        whole = !self.tell(news, &list);
                         if list.hosts.is_empty() {
                             // An agent that does not hold calls is not asked without a pause.
                             tokio::time::sleep(AGAIN / 5).await;
@@ -109,7 +111,7 @@
                     }
                 },
                 call = calls.recv() => {
-                    whole |= call == Some(Call::Fetch);
+                    self.whole |= call == Some(Call::Fetch);
                     self.hang_up();
                 }
             }
@@ -117,63 +119,61 @@
         }
     }
 
-    /// Here calls load discovery; the module decides when there is to be one.
+    /// Here calls load discovery; the module decides when there is to be one after a failure.
     async fn fetch_on_request(
         &mut self,
         news: &impl MembershipSink,
         mut calls: mpsc::UnboundedReceiver<Call>,
     ) {
-        let (hold, patience) = (HOLD, PATIENCE);
-        let mut watching = None;
+        // How long the next call may be held; None: there is none until the module asks.
+        let mut next = None;
+        // The module has asked for changes from now on, and no call has failed since.
+        let mut watches = false;
         let mut moves = self.address.clone();
         loop {
-            let call = match watching {
-                None => tokio::select! {
-                    // The call that was to come next is made at the new address.
-                    Ok(()) = moves.changed() => {
-                        self.hang_up();
-                        Some(Call::Fetch)
-                    }
-                    call = calls.recv() => call,
-                },
-                Some(hold) => tokio::select! {
-                    // What watches here told may not go on there: the whole list first.
-                    Ok(()) = moves.changed() => {
-                        self.hang_up();
-                        Some(Call::Fetch)
-                    }
-                    list = self.call(Some(hold), patience) => {
-                        let told = list.is_some_and(|list| self.tell(news, &list));
-                        watching = told.then_some(hold);
-                        if !told {
-                            news.discovery_failed();
-                        }
-                        self.tried.notify_one();
-                        continue;
+            tokio::select! {
+                // Danger: a call may hang or trickle where discovery was, for longer than news may take. It is left at
+                // once, whatever it is.
+                Ok(()) = moves.changed() => {
+                    self.start_over();
+                    next = Some(Duration::ZERO);
+                }
+                call = calls.recv() => {
+                    self.hang_up();
+                    match call {
+                        // Answered at once, with what was missed.
+                        Some(Call::Watch) => watches = true,
+                        Some(Call::Fetch) => self.whole = true,
+                        None => return,
                     }
-                    call = calls.recv() => call,
-                },
-            };
-            self.hang_up();
-            match call {
-                // The first call is answered at once, with what was missed.
-                Some(Call::Watch) => watching = Some(Duration::ZERO),
-                Some(Call::Fetch) => {
-                    let list = self.call(None, 2 * patience).await;
-                    if !list.is_some_and(|list| self.tell(news, &list)) {
+                    next = Some(Duration::ZERO);
+                }
+                told = self.call_and_tell(next, news) => {
+                    watches &= told;
+                    next = watches.then_some(HOLD);
+                    if !told {
                         news.discovery_failed();
                     }
-                    watching = watching.map(|_| hold);
                     self.tried.notify_one();
                 }
-                None => return,
             }
         }
     }
 
+    /// A call, if there is to be one; whether it told anything.
+    async fn call_and_tell(&mut self, hold: Option<Duration>, news: &impl MembershipSink) -> bool {
+        let Some(hold) = hold else { return std::future::pending().await };
+        let list = self.call(hold, PATIENCE).await;
+        list.is_some_and(|list| self.tell(news, &list))
+    }
+
     /// Passes a list on; false if it does not go with the one at hand.
+    ///
+    /// Danger: a discovery that has started anew may count from lower versions. Asked for what is newer than ours it
+    /// would have nothing to say, or changes that do not follow: the next call is for all.
     fn tell(&mut self, news: &impl MembershipSink, list: &List) -> bool {
-        if !list.whole && list.seq < self.version {
+        self.whole = !list.whole && list.seq < self.version;
+        if self.whole {
             return false;
         }
         self.version = list.seq;
@@ -181,22 +181,29 @@
         true
     }
 
+    /// Discovery is elsewhere: what it counts there need not go on from here.
+    fn start_over(&mut self) {
+        self.hang_up();
+        self.whole = true;
+    }
+
     fn hang_up(&mut self) {
         if let Some((_, task)) = self.connection.take() {
             task.abort();
         }
     }
 
-    /// One call: for the whole list, or a watch that may wait for `hold`. None unless the answer
-    /// came whole and can be understood; then the next call has a new connection.
-    async fn call(&mut self, hold: Option<Duration>, patience: Duration) -> Option<List> {
-        let path = match hold {
-            None => "/registry/instances".to_owned(),
-            Some(hold) => {
-                format!("/registry/instances?from={}&hold_ms={}", self.version, hold.as_millis())
-            }
+    /// One call: for the whole list where that is due, else a watch that may wait for `hold`. None unless the
+    /// answer came whole and can be understood; then the next call has a new connection.
+    async fn call(&mut self, hold: Duration, patience: Duration) -> Option<List> {
+        let (path, hold) = if self.whole {
+            ("/registry/instances".to_owned(), Duration::ZERO)
+        } else {
+            let path =
+                format!("/registry/instances?from={}&hold_ms={}", self.version, hold.as_millis());
+            (path, hold)
         };
-        let first = hold.unwrap_or_default() + patience;
+        let first = hold + patience;
         let address = *self.address.borrow();
         let connection = self.connection.take();
         let mut connection = match connection.filter(|(sender, _)| !sender.is_closed()) {
--- a/crates/millethook-testkit/src/agent.rs
+++ b/crates/millethook-testkit/src/agent.rs
@@ -57,6 +57,11 @@
         *list = (list.0 + 1, hosts);
     }
 
+    /// Starts anew, and counts from the beginning: versions it has told of mean nothing to it.
+    pub fn restart(&self, hosts: Vec<Value>) {
+        *self.list.lock().unwrap() = (1, hosts);
+    }
+
     fn serve(&self, mut conn: Conn) {
         while let Some(call) = conn.head() {
             self.calls.fetch_add(1, Ordering::SeqCst);
--- /dev/null
+++ b/crates/plankvale/tests/sidecar/narrow/lists.rs
@@ -0,0 +1,151 @@
+//! Discovery that fails in the moment in which something changes.
+
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use millethook_testkit::*;
+use serde_json::{Value, json};
+
+/// What discovery has to tell counts as told so long after it had it and could be reached.
+const TOLD_AFTER: Duration = Duration::from_secs(6);
+/// The same after SIGHUP.
+const MOVED_AFTER: Duration = Duration::from_secs(4);
+/// Nine in ten processes are to be ready by then.
+const READY_AFTER: Duration = Duration::from_secs(10);
+
+fn asked(how: &str, known: &[Value]) -> impl Fn(&mut Value) {
+    let known = json!({"seq": 7, "whole": true, "hosts": known});
+    let how = how.to_owned();
+    move |c| {
+        c["known"] = known.clone();
+        c["settings"]["discovery"] = json!(how);
+    }
+}
+
+/// Danger: asked for what is newer than a version that it does not know yet, a discovery that counts anew has
+/// nothing to say, or changes that are no changes of ours; and the next call would ask the same.
+#[test]
+fn a_discovery_that_counts_anew_is_followed_in_time() {
+    for how in ["pushed", "on_request"] {
+        let (a, b) = (Server::named("a"), Server::named("b"));
+        let agent = Agent::start(vec![host("s-a", a.address)]);
+        for _ in 0..5 {
+            agent.change(vec![host("s-a", a.address)]);
+        }
+        let sidecar = Sidecar::start(&config(agent.address, asked(how, &[])));
+        within("the first list", || sidecar.served_by() == "a");
+        agent.restart(vec![host("s-b", b.address)]);
+        let began = Instant::now();
+        within("the news", || sidecar.served_by() == "b");
+        assert!(began.elapsed() < TOLD_AFTER, "{how}: {:?}", began.elapsed());
+    }
+}
+
+/// Danger: where discovery was, a call may be answered byte by byte. What the next place has to tell counts 4 s after
+/// SIGHUP all the same.
+#[test]
+fn a_call_that_trickles_does_not_keep_from_where_discovery_is_now() {
+    for how in ["pushed", "on_request"] {
+        let (a, b) = (Server::named("a"), Server::named("b"));
+        let first = Agent::start(vec![host("s-a", a.address)]);
+        let trickling = Arc::new(AtomicBool::new(false));
+        let said = trickling.clone();
+        let second = Server::start(move |mut conn| {
+            if conn.head().is_some() {
+                conn.send("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n");
+                said.store(true, Ordering::SeqCst);
+                while conn.socket.write_all(b" ").is_ok() {
+                    thread::sleep(Duration::from_millis(20));
+                }
+            }
+        });
+        let third = Agent::start(vec![host("s-b", b.address)]);
+        let at = |address| {
+            config(address, |c| {
+                asked(how, &[host("s-a", a.address)])(c);
+                c["settings"]["rules"]["mustAskIn"] = json!(1_000_000);
+            })
+        };
+        let sidecar = Sidecar::start(&at(first.address));
+        assert_eq!(sidecar.served_by(), "a");
+        sidecar.reload(&at(second.address).to_string());
+        within("the second place asked", || trickling.load(Ordering::SeqCst));
+        sidecar.reload(&at(third.address).to_string());
+        let began = Instant::now();
+        within("the news", || sidecar.served_by() == "b");
+        // A third of the time: waited for to its end, the call alone would take 3 s.
+        assert!(began.elapsed() < MOVED_AFTER / 3, "{how}: {:?}", began.elapsed());
+    }
+}
+
+/// A process that starts with a list from before is ready, whatever discovery does.
+#[test]
+fn a_process_is_ready_while_discovery_is_refusing_hanging_or_silent() {
+    let a = Server::named("a");
+    let known = [host("s-a", a.address)];
+    let mute = Server::start(|mut conn| {
+        conn.ended();
+    });
+    let hanging = Silent::start();
+    for how in ["pushed", "on_request"] {
+        for discovery in [refusing(), mute.address, hanging.address] {
+            let began = Instant::now();
+            let sidecar = Sidecar::start(&config(discovery, asked(how, &known)));
+            assert!(began.elapsed() < READY_AFTER, "{how}: {:?}", began.elapsed());
+            assert_eq!(sidecar.served_by(), "a");
+        }
+    }
+}
+
+/// Lists may come indented, and byte by byte.
+#[test]
+fn an_indented_list_that_comes_byte_by_byte_counts() {
+    let (a, b) = (Server::named("a"), Server::named("b"));
+    let list = json!({"seq": 9, "whole": true, "hosts": [host("s-b", b.address)]});
+    let text = serde_json::to_string_pretty(&list).unwrap().replace('\n', "\r\n\t");
+    let discovery = Server::start(move |mut conn| {
+        while conn.head().is_some() {
+            for byte in ok(&text).as_bytes().chunks(1) {
+                conn.send(byte);
+            }
+        }
+    });
+    let sidecar =
+        Sidecar::start(&config(discovery.address, asked("pushed", &[host("s-a", a.address)])));
+    within("the news", || sidecar.served_by() == "b");
+}
+
+/// Idle clients may hold every descriptor that clients can have while discovery is down. Discovery, servers and
+/// readiness have theirs all the same.
+#[test]
+fn a_crowd_of_idle_clients_keeps_nobody_from_discovery() {
+    let (a, b) = (Server::named("a"), Server::named("b"));
+    let gone = refusing();
+    let known = [host("s-a", a.address)];
+    let crowded = |discovery| {
+        config(discovery, |c| {
+            asked("pushed", &known)(c);
+            c["limits"]["sockets"] = json!(128);
+        })
+    };
+    let sidecar = Sidecar::start(&crowded(gone));
+    let mut crowd: Vec<Conn> = (0..200).map(|_| sidecar.client()).collect();
+    let held = sidecar.descriptors();
+    assert!(held < 128, "{held}");
+    assert_eq!(sidecar.served_by(), "a");
+    let agent = Agent::start(vec![host("s-b", b.address)]);
+    sidecar.reload(&crowded(agent.address).to_string());
+    let began = Instant::now();
+    within("the news", || {
+        // Whoever was closed comes again and rests again.
+        crowd.rotate_left(1);
+        crowd[0] = sidecar.client();
+        sidecar.served_by() == "b"
+    });
+    assert!(began.elapsed() < MOVED_AFTER, "{:?}", began.elapsed());
+    assert_eq!(sidecar.ask("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").status(), 200);
+    assert!(sidecar.descriptors() < 128, "{}", sidecar.descriptors());
+}
--- a/crates/plankvale/tests/sidecar/narrow/mod.rs
+++ b/crates/plankvale/tests/sidecar/narrow/mod.rs
@@ -2,3 +2,4 @@
 
 mod closing;
 mod commit;
+mod lists;
