--- a/crates/millethook-http/src/guard.rs
+++ b/crates/millethook-http/src/guard.rs
@@ -1,7 +1,7 @@
 //! What is checked of clients' requests beyond what hyper checks: heads whose framing can be read in
 //! two ways, and ids that are taken.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -78,24 +78,32 @@
 pub struct OpenIds {
     /// Ids first met in this span, and in the one before.
     spans: RefCell<(FxHashSet<u64>, FxHashSet<u64>, Instant)>,
-    span: Duration,
+    span: Cell<Duration>,
 }
 
+/// Beyond the longest deadline.
+const SPARE: Duration = Duration::from_millis(500);
+
 impl OpenIds {
     /// `longest` is how long a request may be open.
     pub fn new(longest: Duration) -> Rc<OpenIds> {
         Rc::new(OpenIds {
             spans: RefCell::new((FxHashSet::default(), FxHashSet::default(), Instant::now())),
-            span: longest + Duration::from_millis(500),
+            span: Cell::new(longest + SPARE),
         })
     }
 
+    /// Requests may be open for so long from now on, under new settings; those that are open go on as they were.
+    pub fn retuned(&self, longest: Duration) {
+        self.span.set(self.span.get().max(longest + SPARE));
+    }
+
     /// Claims an id for a request; None: it is in use.
     pub fn claim(self: &Rc<OpenIds>, id: &[u8]) -> Option<IdReservation> {
         let id = stable_hash(id);
         let mut spans = self.spans.borrow_mut();
         let (now, before, since) = &mut *spans;
-        if since.elapsed() >= self.span || now.len() >= MOST_IDS {
+        if since.elapsed() >= self.span.get() || now.len() >= MOST_IDS {
             std::mem::swap(now, before);
             now.clear();
             *since = Instant::now();
--- a/crates/millethook-http/src/ingress/mod.rs
+++ b/crates/millethook-http/src/ingress/mod.rs
@@ -116,9 +116,10 @@
         self.tried.set(true);
     }
 
-    /// Requests that come from now on are read by these names.
-    pub fn renamed(&self, names: Arc<Names>) {
+    /// Requests that come from now on are read by these names, and may be open for `longest`.
+    pub fn retuned(&self, names: Arc<Names>, longest: Duration) {
         self.names.replace(names);
+        self.ids.retuned(longest);
     }
 
     /// From now on each answer is the last on its connection, and requests that become whole after `last_taken`
--- a/crates/plankvale/src/lib.rs
+++ b/crates/plankvale/src/lib.rs
@@ -273,7 +273,7 @@
         if let Some(edge) = &self.edge {
             edge.renamed(names.clone());
         }
-        self.ingress.renamed(names);
+        self.ingress.retuned(names, self.engine.longest_deadline());
         tracing::info!(
             event = "reload_applied",
             "new configuration: discovery at {}",
--- a/crates/plankvale/tests/sidecar/narrow/mod.rs
+++ b/crates/plankvale/tests/sidecar/narrow/mod.rs
@@ -3,3 +3,5 @@
 mod closing;
 mod commit;
 mod lists;
+mod servers;
+mod settings;
--- /dev/null
+++ b/crates/plankvale/tests/sidecar/narrow/settings.rs
@@ -0,0 +1,95 @@
+//! Settings that change while requests are open.
+
+use std::sync::mpsc::channel;
+use std::thread;
+use std::time::Duration;
+
+use millethook_testkit::*;
+use serde_json::{Value, json};
+
+fn retuned(agent: &Agent, change: impl FnOnce(&mut Value)) -> Value {
+    config(agent.address, |c| {
+        c["admin"] = json!("127.0.0.1:0");
+        change(c);
+    })
+}
+
+/// How long any request may be open.
+fn deadlines(micros: u64) -> impl FnOnce(&mut Value) {
+    move |c| {
+        for class in c["settings"]["classes"].as_array_mut().unwrap() {
+            class["aim"] = json!(micros / 2);
+            class["deadline"] = json!(micros);
+        }
+    }
+}
+
+/// Danger: an id is remembered for as long as a request could be open. That was reckoned once, at the start.
+#[test]
+fn an_id_stays_taken_for_as_long_as_new_settings_keep_requests_open() {
+    let (asked, told) = channel();
+    let (servers, log, _) = servers(1, move |mut conn, seen| {
+        if seen.message.header("x-correlation-id") == Some("same") {
+            let (go, going) = channel::<()>();
+            let _ = asked.send(go);
+            let _ = going.recv_timeout(BOUND);
+        }
+        conn.send(ok("served"));
+        Some(conn)
+    });
+    let agent = Agent::start(hosts(&servers));
+    let sidecar = Sidecar::start(&retuned(&agent, deadlines(100_000)));
+    sidecar.reload(&retuned(&agent, deadlines(15_000_000)).to_string());
+    within("taken", || sidecar.figure("sidecar.sighup_applied") == 1);
+    let long = |request: String| request.replace("X-Time-Left-Ms: 900", "X-Time-Left-Ms: 15000");
+    let mut client = sidecar.client();
+    client.send(long(safe_as("same")));
+    let go = next(&told);
+    // Time passes for the spans of the first settings, 0.6 s each, with a request in each.
+    for _ in 0..3 {
+        thread::sleep(Duration::from_millis(700));
+        assert_eq!(sidecar.ask(safe()).status(), 200);
+    }
+    assert_eq!(sidecar.ask(long(safe_as("same"))).status(), 409);
+    go.send(()).unwrap();
+    assert_eq!(client.message().unwrap().status(), 200);
+    assert_eq!(log.count(), 4);
+}
+
+/// A keyed request that may have run is repeated within the window under which it came, whatever its class has become.
+#[test]
+fn an_open_keyed_request_keeps_its_window_when_its_class_becomes_safe() {
+    let (asked, told) = channel();
+    let (servers, log, _) = servers(2, move |conn, _| {
+        let (go, going) = channel::<()>();
+        let _ = asked.send(go);
+        let _ = going.recv_timeout(BOUND);
+        // Whether it ran, nobody can tell.
+        conn.reset();
+        None
+    });
+    let agent = Agent::start(hosts(&servers));
+    let short = |c: &mut Value| {
+        deadlines(15_000_000)(c);
+        c["settings"]["classes"][1]["window"] = json!(300_000);
+    };
+    let sidecar = Sidecar::start(&retuned(&agent, short));
+    let mut client = sidecar.client();
+    client.send(keyed().replace("X-Time-Left-Ms: 900", "X-Time-Left-Ms: 15000"));
+    let go = next(&told);
+    sidecar.reload(
+        &retuned(&agent, |c| {
+            short(c);
+            let classes = c["settings"]["classes"].as_array_mut().unwrap();
+            classes[1]["repeat"] = json!("idempotent");
+            classes[1]["window"] = json!(60_000_000);
+            classes.reverse();
+        })
+        .to_string(),
+    );
+    within("taken", || sidecar.figure("sidecar.sighup_applied") == 1);
+    thread::sleep(Duration::from_millis(300));
+    go.send(()).unwrap();
+    assert_eq!(client.message().unwrap().status(), 502);
+    assert_eq!(log.count(), 1);
+}
