--- a/crates/plankvale/tests/sidecar/narrow/commit.rs
+++ b/crates/plankvale/tests/sidecar/narrow/commit.rs
@@ -115,3 +115,37 @@
     // It never ran: trying again is harmless.
     assert_eq!(client.message().unwrap().status(), 503);
 }
+
+/// A burst of clients that leave together while their requests wait: none of them is sent on.
+#[test]
+fn a_burst_of_clients_that_leave_together_sends_nothing() {
+    let silent = Silent::start();
+    let agent = Agent::start(vec![host("s-a", silent.address)]);
+    let sidecar = Sidecar::start(&config(agent.address, |c| {
+        patient(c);
+        c["settings"]["limits"]["cancel"] = json!(false);
+    }));
+    let mut clients: Vec<_> = (0..8).map(|_| sidecar.client()).collect();
+    for client in &mut clients {
+        client.send(long(unsafe_with("x")));
+        client.send("POST /order");
+    }
+    // As many as may come up at once to one server: none waits for another one's handshake.
+    within("all under way", || sidecar.figure("sidecar.outstanding") == 8);
+    assert_eq!(sidecar.figure("sidecar.outstanding"), 8);
+    // Some by an end, some by a reset.
+    for (n, client) in clients.into_iter().enumerate() {
+        if n % 2 == 0 { drop(client) } else { client.reset() }
+    }
+    within("none under way", || sidecar.figure("sidecar.outstanding") == 0);
+    let (tell, told) = channel();
+    silent.open(move |mut conn| {
+        while let Some(message) = conn.message() {
+            let _ = tell.send(message.first);
+            conn.send(ok("a"));
+        }
+    });
+    // The first that the server gets is what is asked for now, and so is all else that it gets.
+    within("served", || sidecar.ask(long(safe())).body == b"a");
+    assert!(told.try_iter().all(|first| first.starts_with("GET")), "an order of nobody");
+}
