--- a/crates/plankvale/tests/sidecar/upgrade.rs
+++ b/crates/plankvale/tests/sidecar/upgrade.rs
@@ -142,3 +142,39 @@
         assert!(log.contains(complaint), "{log}");
     }
 }
+
+/// Danger: a client that does not wait for its answer has sent part of the next request with the first. What the old
+/// process has read of it cannot be passed on, so neither can the connection.
+#[test]
+fn a_connection_with_half_a_request_read_is_not_passed_on() {
+    let (asked, told) = channel();
+    let (servers, log, _) = servers(1, move |mut conn, _| {
+        let (go, going) = channel::<()>();
+        let _ = asked.send(go);
+        let _ = going.recv_timeout(BOUND);
+        conn.send(ok("served"));
+        Some(conn)
+    });
+    let agent = Agent::start(hosts(&servers));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let folder = Folder::new("half");
+    let config = operated(&agent, &listener);
+    let mut old = Sidecar::launch_beside(&config, &listener, &folder.0);
+    within("the old one is ready", || old.operate("GET /v1/readyz").status() == 200);
+    let mut client = old.client();
+    let next_one = safe();
+    let (first, rest) = next_one.split_at(next_one.len() / 2);
+    client.send(safe() + first);
+    let go = next(&told);
+    let new = Sidecar::launch_beside(&config, &listener, &folder.0);
+    within("the new one is ready", || new.operate("GET /v1/readyz").status() == 200);
+    old.terminate();
+    old.logged("a successor goes on");
+    go.send(()).unwrap();
+    assert_eq!(client.message().unwrap().body, b"served");
+    // Nobody reads the rest as a request of its own: the old process ends the connection, and the client asks anew.
+    assert_eq!(old.exit_code(), Some(0));
+    client.send(rest);
+    assert_eq!(client.message(), None);
+    assert_eq!(log.count(), 1);
+}
