Connections that are ending give their places to others; how it all fits together in ARCHITECTURE

In a crowd, who was told to leave kept its place until its client closed, up to 2 s, or for 2 ms until it was told again. Change: up to 16 ending connections count against the reserve of descriptors that was for them all along.

--- a/crates/millethook-engine/src/budget.rs
+++ b/crates/millethook-engine/src/budget.rs
@@ -13,6 +13,8 @@
 /// Descriptors that are neither a client's nor a server's: the listener, the event queue,
 /// discovery, peers, standard streams, and those whose closing is still under way.
 const RESERVE: usize = 32;
+/// So many of them are for clients' connections that are ending.
+const CLOSING: usize = 16;
 /// More connections than this would need more memory than they serve.
 const MOST: usize = 4096;
 
@@ -22,6 +24,8 @@
     pub clients: Arc<Semaphore>,
     /// How many of these there are.
     pub client_permits: usize,
+    /// Connections of clients that are ending, and make room for others meanwhile.
+    pub closing: Arc<Semaphore>,
     /// Connections to servers.
     pub servers: Arc<ConnectionPermits>,
 }
@@ -40,13 +44,15 @@
         Sockets {
             clients: Arc::new(Semaphore::new(clients)),
             client_permits: clients,
+            closing: Arc::new(Semaphore::new(CLOSING)),
             servers: ConnectionPermits::new(servers),
         }
     }
 
     /// For engines whose clients need no sockets: all places are for servers.
     pub fn of_servers(servers: Arc<ConnectionPermits>) -> Sockets {
-        Sockets { clients: Arc::new(Semaphore::new(0)), client_permits: 0, servers }
+        let none = || Arc::new(Semaphore::new(0));
+        Sockets { clients: none(), client_permits: 0, closing: none(), servers }
     }
 }
 
--- a/crates/millethook-http/src/ingress/client.rs
+++ b/crates/millethook-http/src/ingress/client.rs
@@ -48,6 +48,8 @@
     pub open_ended: Cell<bool>,
     /// Something was written to it.
     pub wrote: Cell<bool>,
+    /// It has one of the places for clients; one that is ending may have another's.
+    pub placed: Cell<bool>,
     /// How many answers it has had.
     pub answers: Cell<u32>,
     /// What has been read of the request that is coming.
@@ -66,6 +68,7 @@
             complete: Cell::new(false),
             open_ended: Cell::new(false),
             wrote: Cell::new(false),
+            placed: Cell::new(true),
             answers: Cell::new(0),
             head: RefCell::default(),
             since: Cell::new(now),
--- a/crates/millethook-http/src/ingress/crowd.rs
+++ b/crates/millethook-http/src/ingress/crowd.rs
@@ -26,6 +26,7 @@
     /// In a crowd, who is to go first: the lower, the sooner. None: not to go at all.
     fn rank(&self) -> Option<(u8, Instant)> {
         match self.phase.get() {
+            _ if !self.placed.get() => None,
             Phase::Taken | Phase::Answered => None,
             // Danger: in a crowd, connections that only wait for their clients to close them
             // would keep new ones out.
@@ -77,7 +78,8 @@
     pub(super) fn thin(&self) {
         let taken = self.sockets.client_permits - self.sockets.clients.available_permits();
         let clients = self.clients.borrow();
-        let ending = clients.values().filter(|c| c.phase.get() == Phase::Ending).count();
+        let ending =
+            clients.values().filter(|c| c.placed.get() && c.phase.get() == Phase::Ending).count();
         let most = taken.saturating_sub(ending + self.sockets.client_permits / 2);
         if most == 0 {
             return;
--- a/crates/millethook-http/src/ingress/mod.rs
+++ b/crates/millethook-http/src/ingress/mod.rs
@@ -238,6 +238,16 @@
             && unused.is_empty()
             && client.phase.get() == Phase::Resting
             && self.passed_on(&client, &socket);
+        // Danger: in a crowd, each that is told to leave would keep its place for as long as its client likes, and all
+        // that are waiting to be accepted would wait for that.
+        let place = match self.sockets.closing.clone().try_acquire_owned() {
+            Ok(closing) => {
+                client.placed.set(false);
+                drop(place);
+                closing
+            }
+            Err(_) => place,
+        };
         // Passed on, the connection is the successor's: dropped here, it stays open there.
         if !passed && !matches!(end, End::Gone) {
             tokio::select! {
