--- a/crates/coppercart/tests/cold.rs
+++ b/crates/coppercart/tests/cold.rs
@@ -18,11 +18,14 @@
 const SERVERS: u64 = 20;
 const SECONDS: u64 = 20;
 
+/// What is due: when, at which sidecar, the request (MAX: news of servers), its server, and the queue it reports.
+type Due = Reverse<(Micros, usize, u64, u64, usize)>;
+
 /// A fleet of sidecars, each deciding for itself, and what each server is sent.
 struct Fleet {
     sidecars: Vec<Bench>,
     random: Random,
-    due: BinaryHeap<Reverse<(Micros, usize, u64, u64, usize)>>,
+    due: BinaryHeap<Due>,
     /// When each server was sent something, within the time that the settings name.
     sent: Vec<VecDeque<Micros>>,
     started: Vec<Micros>,
