--- a/crates/coppercart/src/decide/subsets.rs
+++ b/crates/coppercart/src/decide/subsets.rs
@@ -110,9 +110,8 @@
         self.update_weights();
     }
 
-    /// The server that a key is at home with, the same at all sidecars of a zone. The home
-    /// of a hot key would drown, and such a key is warm everywhere. One that this single sidecar
-    /// met lately is hot.
+    /// The server that a key is at home with, the same at all sidecars of a zone. The home of a hot key would drown,
+    /// and such a key is warm everywhere. One that this single sidecar met lately is hot.
     pub(super) fn home(&self, key: u64) -> Option<Slot> {
         if key == 0 || self.ring.is_empty() || self.recent_keys.contains(&key) {
             return None;
--- a/crates/coppercart/src/decide/timers.rs
+++ b/crates/coppercart/src/decide/timers.rs
@@ -26,9 +26,8 @@
 
     pub(super) fn timer(&mut self, token: u32, out: &mut Vec<Action>) {
         match self.alarms.remove(&token) {
-            // A connection or an answer that falls silent takes its request with it. Where
-            // that does no harm a second copy goes out, within the budget for repeats; in an
-            // overload, copies would be what makes others late.
+            // A connection or an answer that falls silent takes its request with it. Where that does no harm a second
+            // copy goes out, within the budget for repeats; in an overload, copies would be what makes others late.
             Some(Alarm::Copy(id)) => {
                 let Some(r) = self.requests.get(&id) else { return };
                 // Timers run late, and the next one is not to run later for that.
