--- a/crates/coppercart/src/decide/requests.rs
+++ b/crates/coppercart/src/decide/requests.rs
@@ -41,7 +41,6 @@
         );
         let gap = (self.now.saturating_sub(self.rate_at) as f64 / 1e6).max(1e-3);
         self.rate_at = self.now;
-        // A mean over some ten seconds, by the gaps between requests.
         let kept = (-gap / RATE_SPAN).exp();
         self.rate = self.rate * kept + (1.0 - kept) / gap;
         // A busy sidecar meets in a second what a quiet one does in a minute.
@@ -54,9 +53,7 @@
     }
 
     fn try_send(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
-        let Some(request) = self.requests.remove(&id) else {
-            return false;
-        };
+        let Some(request) = self.requests.remove(&id) else { return false };
         let slot = self.pick(&request);
         if request.attempts.is_empty() {
             self.recent_keys[self.next_recent_key % RECENT_KEYS] = request.key;
@@ -68,10 +65,7 @@
 
     /// One more attempt after a failure, within the retry budget.
     pub(super) fn retry(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
-        if self.retry_budget < 1.0 {
-            return false;
-        }
-        let sent = self.try_send(id, out);
+        let sent = self.retry_budget >= 1.0 && self.try_send(id, out);
         if sent {
             self.retry_budget -= 1.0;
         }
--- a/crates/coppercart/src/decide/rules.rs
+++ b/crates/coppercart/src/decide/rules.rs
@@ -48,19 +48,13 @@
 
     /// Rule 2: whether the client may be told that trying again is harmless.
     fn refusable(&self, request: &Request) -> bool {
-        let class = &self.settings.classes[request.class];
-        match class.repeat {
-            Repeat::Safe => true,
-            // A client's own retry of a keyed request may come when no server remembers it.
-            Repeat::Unsafe | Repeat::Keyed => request.never_ran(),
-        }
+        // A client's own retry of a keyed request may come when no server remembers it.
+        self.settings.classes[request.class].repeat == Repeat::Safe || request.never_ran()
     }
 
     /// The one gate of all sends.
     pub(super) fn send(&mut self, id: RequestId, slot: Slot, out: &mut Vec<Action>) -> bool {
-        let Some(request) = self.requests.get(&id) else {
-            return false;
-        };
+        let Some(request) = self.requests.get(&id) else { return false };
         let (now, s) = (self.now, &self.servers[slot]);
         if s.health != Health::Ready || !self.allowed(request, s) {
             return false;
