--- a/crates/millethook-lab/src/figures.rs
+++ b/crates/millethook-lab/src/figures.rs
@@ -9,6 +9,7 @@
 mod load;
 mod operations;
 mod processes;
+mod trials;
 mod views;
 mod windows;
 
@@ -108,6 +109,9 @@
     /// Jobs with an owner at the end.
     #[serde(default)]
     pub owned_at_end: usize,
+    /// Attempts at silent servers by sidecars that did not own the trial, though another one did.
+    #[serde(default)]
+    pub trials_by_others: u64,
     /// The share of samples in which a sidecar doubted some server.
     pub doubting: f64,
     /// Documents, where they are distributed.
@@ -171,6 +175,7 @@
         views_too_dead: views::too_dead(outcome, plan.sidecars.len()),
         two_owners: views::two_owners(outcome),
         owned_at_end: views::owned_at_end(outcome),
+        trials_by_others: trials::trials_by_others(timeline, outcome),
         doubting: views::doubting(outcome),
         distribution: distribution::distribution(timeline, outcome),
         processes: processes(outcome),
--- a/crates/millethook-lab/src/figures/expectations.rs
+++ b/crates/millethook-lab/src/figures/expectations.rs
@@ -56,7 +56,7 @@
 }
 
 /// The bounds on figures of the whole run.
-fn limits(expect: &Expect, figures: &Figures) -> [Limit; 8] {
+fn limits(expect: &Expect, figures: &Figures) -> [Limit; 9] {
     let at_least = |name, limit, found| Limit { name, bound: Bound::AtLeast, limit, found };
     let at_most = |name, limit, found| Limit { name, bound: Bound::AtMost, limit, found };
     [
@@ -69,6 +69,7 @@
         // This holds for every timeline.
         at_most("two owners of a job", Some(0.0), figures.two_owners as f64),
         at_least("owned_at_end", expect.owned_at_end, figures.owned_at_end as f64),
+        at_most("trials_by_others", expect.trials_by_others, figures.trials_by_others as f64),
     ]
 }
 
--- a/crates/millethook-lab/src/timeline/check.rs
+++ b/crates/millethook-lab/src/timeline/check.rs
@@ -120,6 +120,7 @@
         ("kept_open", e.kept_open, 1e9),
         ("kept", e.kept, 1e9),
         ("owned_at_end", e.owned_at_end, 1e6),
+        ("trials_by_others", e.trials_by_others, 1e9),
         ("in_force_within_s", e.in_force_within_s, LONGEST_S),
         ("committed", e.committed, 1e6),
         ("stopped", e.stopped, 1e6),
--- a/crates/millethook-lab/src/timeline/mod.rs
+++ b/crates/millethook-lab/src/timeline/mod.rs
@@ -311,6 +311,8 @@
     pub unanswered: Option<f64>,
     /// The least jobs of the fleet that have an owner at the end.
     pub owned_at_end: Option<f64>,
+    /// The most attempts at a silent server by sidecars that did not own its trial, though another one did.
+    pub trials_by_others: Option<f64>,
     /// The longest time from a request to publish until the change is in force at all that are there, in seconds.
     pub in_force_within_s: Option<f64>,
     /// The least documents that a majority of the control nodes accepts.
--- a/crates/millethook-lab/tests/it/figures_golden.rs
+++ b/crates/millethook-lab/tests/it/figures_golden.rs
@@ -205,3 +205,27 @@
     }
     assert_eq!(text, include_str!("../golden/figures.txt"));
 }
+
+/// With leases of 1 s an owner is known to all 3 s after it has the job, and 3 s after an event.
+#[test]
+fn only_attempts_beside_a_settled_owner_count_as_trials_by_others() {
+    let product = "product = '''\n[lease]\nlongest_s = 1\n'''\ncount = 4\nzones = 2";
+    let timeline = Timeline::from_toml(&TIMELINE.replacen("count = 4\nzones = 2", product, 1));
+    let timeline = timeline.expect("a timeline");
+    let plan = Plan::new(&timeline, 7);
+    let trials = |sidecar: usize, at: u64| {
+        let mut outcome = outcome();
+        let mut attempt = outcome.book.attempts[0].clone();
+        attempt.id = RequestId::new(sidecar, 9_999, 0);
+        (attempt.first_byte, attempt.fate) = (at, Fate::Silent);
+        outcome.book.attempts = vec![attempt];
+        figures("by-rule", &timeline, &plan, &outcome).trials_by_others
+    };
+    // Sidecar 0 owns the job up to 12 s, sidecar 1 from then on; events begin and end at 6, 7, 11 and 14 s.
+    assert_eq!(trials(2, 5 * S), 1);
+    assert_eq!(trials(0, 5 * S), 0, "the owner");
+    assert_eq!(trials(2, 2 * S), 0, "it has just got the job");
+    assert_eq!(trials(2, 8 * S), 0, "soon after an event");
+    assert_eq!(trials(2, 18 * S), 1);
+    assert_eq!(trials(1, 18 * S), 0, "the next owner");
+}
--- a/crates/millethook-lab/tests/processes.rs
+++ b/crates/millethook-lab/tests/processes.rs
@@ -72,6 +72,13 @@
     hold(&["lease-ends.toml", "lease-cuts.toml"]);
 }
 
+/// What callers saw in the cuts above, and what the timeline there cannot judge: others than the owner sent requests to the
+/// dead server. Some have to, on the small side of a cut. Here nothing is cut, so none has a reason.
+#[test]
+fn only_its_owner_tries_a_dead_server_in_a_calm_fleet() {
+    hold(&["lease-quiet.toml"]);
+}
+
 #[test]
 fn kept_writes_are_done_once_and_in_order_through_kills_pauses_and_second_cuts() {
     hold(&["edge-ends.toml", "edge-cuts.toml"]);
