Tests: an id that is open over an upgrade is listed as known red

On sockets: an unsafe request is open at the old process, and the new one takes the same id and runs it. Not mended: ids can be handed on with the connections, but both processes accept from when the new one listens, so that alone does not close it.

--- a/crates/plankvale/tests/sidecar/upgrade.rs
+++ b/crates/plankvale/tests/sidecar/upgrade.rs
@@ -91,6 +91,52 @@
     assert_eq!(log.count(), 50);
 }
 
+/// What callers see: an effect runs twice. What happens: a process refuses a request under an id that it has open, but an
+/// upgrade hands on connections and listeners, not the ids of open requests. The process that follows takes the same id
+/// once more while the one before still waits for its answer. Open (`KNOWN-RED.txt`).
+#[test]
+fn an_id_that_is_open_at_the_process_before_is_not_taken_again() {
+    let (asked, told) = channel();
+    let (servers, log, _) = servers(2, move |mut conn, _| {
+        let (go, going) = channel::<()>();
+        let _ = asked.send(go);
+        let _ = going.recv_timeout(BOUND);
+        conn.send(ok("served"));
+        Some(conn)
+    });
+    let agent = Agent::start(hosts(&servers));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let folder = Folder::new("ids");
+    let mut config = operated(&agent, &listener);
+    for class in config["settings"]["classes"].as_array_mut().into_iter().flatten() {
+        class["deadline"] = json!(20_000_000);
+    }
+    let old = Sidecar::launch_beside(&config, &listener, &folder.0);
+    within("the old one is ready", || old.operate("GET /v1/readyz").status() == 200);
+    let order = unsafe_with("x").replace("Left-Ms: 900", "Left-Ms: 15000");
+    let mut first = old.client();
+    first.send(&order);
+    let go = next(&told);
+
+    let new = Sidecar::launch_beside(&config, &listener, &folder.0);
+    within("the new one is ready", || new.operate("GET /v1/readyz").status() == 200);
+    old.terminate();
+    old.logged("a successor goes on");
+    let mut second = new.client();
+    second.send(&order);
+    let answer = std::thread::scope(|scope| {
+        let answered = scope.spawn(|| second.message().expect("an answer").status());
+        // Either it is refused, or a server has been asked and waits to be told to go on.
+        within("it is refused, or runs", || answered.is_finished() || log.count() > 1);
+        told.try_iter().for_each(|go| go.send(()).unwrap());
+        answered.join().expect("no panic")
+    });
+    go.send(()).unwrap();
+    assert_eq!(first.message().expect("an answer").status(), 200);
+    assert_ne!(answer, 200, "the order ran under the same id at both processes");
+    assert_eq!(log.count(), 1, "the order ran once");
+}
+
 #[test]
 fn upgrades_follow_one_another() {
     let agent = Agent::start(hosts(&[Server::named("a")]));
