Upgrades: one process takes requests at a time, and knows which ids the other has open

What callers saw: an unsafe request that was open at a process ran a second time, under the same id, at the process that followed it in an upgrade.

Cause: a process refuses an id that it has open. An upgrade handed on connections and not ids, and both processes took new connections from the new one's start to the old one's SIGTERM.

Ruled out: holding back requests at the new process only from SIGTERM on (both take requests before it), and waiting until the old one has read its last head (up to 0.65 s for all clients, for one slow one).

Change: the new process asks the one before each second whether it lives, and takes requests once that one hands over, has ended or has said nothing for 2 s. Open ids go ahead of the first connection, as a file in memory; an id that the old process reads later is claimed at the new one, by one end of a socket pair. An older build passes over what is no connection, as it did.

--- /dev/null
+++ b/crates/millethook-handover/src/incumbent.rs
@@ -0,0 +1,46 @@
+//! The process that holds the seat before this one takes it: whether it lives and still serves.
+
+use std::io;
+use std::os::unix::net::UnixStream;
+use std::path::Path;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::UnixStream as AsyncStream;
+use tokio::time::timeout;
+
+/// Between two questions whether it lives.
+const INTERVAL: Duration = Duration::from_secs(1);
+/// It answers nothing for so long: it stands still, or is of a build that does not answer.
+const SILENCE: Duration = Duration::from_secs(2);
+
+/// The process that holds the seat.
+pub struct Incumbent {
+    stream: AsyncStream,
+}
+
+impl Incumbent {
+    /// The process that holds the seat at `path`; None: nobody does. To be asked before the seat is taken. Must be called
+    /// within a runtime.
+    pub fn at(path: &Path) -> Option<Incumbent> {
+        let stream = UnixStream::connect(path).ok()?;
+        stream.set_nonblocking(true).ok()?;
+        Some(Incumbent { stream: AsyncStream::from_std(stream).ok()? })
+    }
+
+    /// Waits until it has ended, or says nothing.
+    pub async fn ended(mut self) {
+        while let Ok(Ok(_)) = timeout(SILENCE, self.answer()).await {
+            // Nothing comes unasked but the end.
+            if let Ok(Err(_)) = timeout(INTERVAL, self.stream.read_u8()).await {
+                return;
+            }
+        }
+    }
+
+    /// Asks whether it lives.
+    async fn answer(&mut self) -> io::Result<u8> {
+        self.stream.write_u8(0).await?;
+        self.stream.read_u8().await
+    }
+}
--- a/crates/millethook-handover/src/seat.rs
+++ b/crates/millethook-handover/src/seat.rs
@@ -2,7 +2,8 @@
 //!
 //! The seat is a Unix domain socket at a known path. A process takes it by binding a socket under a name
 //! of its own and renaming that over the path, so that there is always exactly one holder to be found.
-//! One byte goes with each connection; what it means is for the caller to say.
+//! One byte goes with each descriptor: for a connection it is the caller's to say what it means, other descriptors
+//! say what they are ([`crate::request_ids`]).
 
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
@@ -17,6 +18,7 @@
 use tokio::net::{UnixListener, UnixStream as AsyncStream};
 
 use crate::inherited::receive;
+use crate::request_ids::{self, Claim};
 
 /// The seat, held. Dropped, it is given up unless somebody else holds it by now.
 pub struct Seat {
@@ -109,6 +111,24 @@
         sendmsg(&self.stream, &[IoSlice::new(&bytes)], &mut control, SendFlags::NOSIGNAL)?;
         Ok(())
     }
+
+    /// Tells the successor which ids are in use here. From then on it is asked by [`Successor::claim`] for others.
+    ///
+    /// # Errors
+    /// As for a connection; or there is no memory for the ids.
+    pub fn pass_ids(&self, ids: &[u64]) -> io::Result<()> {
+        self.pass(request_ids::written(ids)?, request_ids::IDS)
+    }
+
+    /// Asks the successor to take an id for this process. The answer is [`request_ids::Asked::granted`].
+    ///
+    /// # Errors
+    /// As for a connection.
+    pub fn claim(&self, id: u64) -> io::Result<request_ids::Asked> {
+        let (asked, theirs) = request_ids::Asked::new(id)?;
+        self.pass(theirs, request_ids::CLAIM)?;
+        Ok(asked)
+    }
 }
 
 /// A process that passes its connections on.
@@ -116,13 +136,24 @@
     stream: AsyncStream,
 }
 
+/// What a process passes on.
+#[derive(Debug)]
+pub enum Passed {
+    /// A connection, not blocking, and its byte.
+    Connection(TcpStream, u8),
+    /// The ids of requests that are open there.
+    Ids(Vec<u64>),
+    /// It wants to take one more id.
+    Claim(Claim),
+}
+
 impl Predecessor {
-    /// The next connection, not blocking, and its byte. None: there are no more. What is no TCP
-    /// connection is passed over. Cancel safe.
+    /// What comes next. None: there is no more. Descriptors of other kinds are passed over, and a byte alone asks whether
+    /// this process lives: it is sent back. Cancel safe.
     ///
     /// # Errors
     /// The way to the other process broke.
-    pub async fn next(&self) -> io::Result<Option<(TcpStream, u8)>> {
+    pub async fn next(&self) -> io::Result<Option<Passed>> {
         loop {
             self.stream.readable().await?;
             let got = self.stream.try_io(Interest::READABLE, || {
@@ -131,12 +162,21 @@
             });
             match got {
                 Ok((None, _)) => return Ok(None),
-                Ok((Some(_), None)) => {}
+                Ok((Some(byte), None)) => drop(self.stream.try_write(&[byte])),
                 Ok((Some(byte), Some(fd))) => {
                     let socket = Socket::from(fd);
                     let tcp = socket.peer_addr().is_ok_and(|peer| peer.as_socket().is_some());
                     if tcp && socket.set_nonblocking(true).is_ok() {
-                        return Ok(Some((socket.into(), byte)));
+                        return Ok(Some(Passed::Connection(socket.into(), byte)));
+                    }
+                    let passed = match byte {
+                        _ if tcp => None,
+                        request_ids::IDS => request_ids::read(socket.into()).map(Passed::Ids).ok(),
+                        request_ids::CLAIM => Claim::read(socket.into()).map(Passed::Claim).ok(),
+                        _ => None,
+                    };
+                    if passed.is_some() {
+                        return Ok(passed);
                     }
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
@@ -175,7 +215,9 @@
         successor.pass(&served, 7).unwrap();
         drop((served, successor));
         let predecessor = new.predecessor().await.unwrap();
-        let (mut passed, byte) = predecessor.next().await.unwrap().expect("a connection");
+        let Some(Passed::Connection(mut passed, byte)) = predecessor.next().await.unwrap() else {
+            panic!("a connection expected");
+        };
         assert_eq!(byte, 7);
         passed.set_nonblocking(false).unwrap();
         let mut bytes = [0; 6];
--- a/crates/millethook-http/src/guard.rs
+++ b/crates/millethook-http/src/guard.rs
@@ -101,6 +101,26 @@
     /// Claims an id for a request; None: it is in use.
     pub fn reserve(self: &Rc<OpenIds>, id: &[u8]) -> Option<IdReservation> {
         let id = stable_hash(id);
+        self.insert(id).then(|| IdReservation { ids: self.clone(), id, kept: false })
+    }
+
+    /// All ids that are in use, as hashes.
+    pub fn in_use(&self) -> Vec<u64> {
+        let spans = self.spans.borrow();
+        spans.0.iter().chain(&spans.1).copied().collect()
+    }
+
+    /// Ids that are in use at another process are in use here, too.
+    pub fn take_over(&self, ids: impl IntoIterator<Item = u64>) {
+        self.spans.borrow_mut().0.extend(ids);
+    }
+
+    /// Claims an id, as a hash, for a request at another process. False: it is in use.
+    pub fn claim(&self, id: u64) -> bool {
+        self.insert(id)
+    }
+
+    fn insert(&self, id: u64) -> bool {
         let mut spans = self.spans.borrow_mut();
         let (now, before, since) = &mut *spans;
         if since.elapsed() >= self.span.get() || now.len() >= MAX_IDS {
@@ -108,10 +128,7 @@
             now.clear();
             *since = Instant::now();
         }
-        if before.contains(&id) || !now.insert(id) {
-            return None;
-        }
-        Some(IdReservation { ids: self.clone(), id, kept: false })
+        !before.contains(&id) && now.insert(id)
     }
 }
 
@@ -123,6 +140,11 @@
 }
 
 impl IdReservation {
+    /// The id, as a hash.
+    pub fn id(&self) -> u64 {
+        self.id
+    }
+
     /// The request has been taken: its id stays in use for as long as it may be open.
     pub fn keep(mut self) {
         self.kept = true;
--- a/crates/millethook-http/src/ingress/mod.rs
+++ b/crates/millethook-http/src/ingress/mod.rs
@@ -61,8 +61,14 @@
 
 /// A process that goes on with clients' connections where this one ends.
 pub trait Successor {
+    /// Tells it which ids are in use here, before it is passed anything else.
+    fn pass_ids(&self, ids: &[u64]);
+
     /// Passes an idle connection on; `asked`: its client has had an answer. False: it stays here.
     fn pass(&self, connection: &TcpStream, was_answered: bool) -> bool;
+
+    /// Asks it to take an id for a request that is read here. False: it is in use there; None: it does not answer.
+    fn claim(&self, id: u64) -> Pin<Box<dyn Future<Output = Option<bool>>>>;
 }
 
 impl Ingress {
@@ -89,9 +95,10 @@
         })
     }
 
-    /// From now on idle connections go to `successor`, and the others after their answer. Requests that become
-    /// whole after `last_taken` are refused.
+    /// From now on ids are taken at `successor`, idle connections go there, and the others after their answer. Requests
+    /// that become whole after `last_taken` are refused.
     pub fn hand_over(&self, successor: Rc<dyn Successor>, last_taken: Instant) {
+        successor.pass_ids(&self.ids.in_use());
         self.last_taken.set(Some(last_taken));
         self.successor.replace(Some(successor));
     }
--- a/crates/millethook-http/src/ingress/serve.rs
+++ b/crates/millethook-http/src/ingress/serve.rs
@@ -89,6 +89,15 @@
         let Some(reservation) = self.ids.reserve(id.as_bytes()) else {
             return Ok(Err(StatusCode::CONFLICT));
         };
+        // Without this, the process that takes over could take the same id on a connection of its own.
+        let successor = self.successor.borrow().clone();
+        if let Some(successor) = successor {
+            match successor.claim(reservation.id()).await {
+                Some(true) => {}
+                Some(false) => return Ok(Err(StatusCode::CONFLICT)),
+                None => return Ok(Ok(Answered::Driver(refused(None)))),
+            }
+        }
         client.enter(Phase::Body);
         let (mut body, mut pace) = (body, Pace::new());
         let mut account = self.bytes.account();
--- a/crates/plankvale/src/lib.rs
+++ b/crates/plankvale/src/lib.rs
@@ -87,7 +87,8 @@
         Some(at) => Some(listen(at).map_err(|e| format!("admin: {at}: {e}"))?),
         None => None,
     };
-    let seat = config.inherited.and_then(|_| succession::take_seat(&config.name));
+    let place = config.inherited.and_then(|_| succession::Place::take(&config.name));
+    let seat = place.as_ref().map(|place| place.seat.clone());
     let Config { peers, peers_all: all, .. } = config;
     let keeper = product::keeper(&config.product, &config.name)?;
     let connections = product::connections(&config.product, Limits::default());
@@ -114,7 +115,7 @@
         engine.names.borrow().clone(),
         engine.sockets.clone(),
         bytes,
-        ids,
+        ids.clone(),
     );
     let edge = keep_writes(&config.product, &engine, &ingress, storage)?;
     let documents = engine.fleet.as_ref().and_then(|fleet| fleet.distribution.clone());
@@ -139,16 +140,18 @@
     }
     let at = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
     tracing::info!(event = "listening", "{} listens on {at}", config.name);
-    if let Some(seat) = seat.clone() {
-        spawn_local(succession::adopt(seat, ingress.clone()));
-    }
+    let turn = place.map(|place| place.succeed(ingress.clone(), ids));
     let shares_listener = config.inherited.is_some();
     let (front, driver) = (ingress.clone(), engine.driver.clone());
     let accepting = async move {
-        // The process beside this one serves until this one can.
+        // The process beside this one serves until this one can, and then until it hands over: the two do not know
+        // which requests the other one has open.
         if shares_listener {
             let _ = timeout(UNLISTED, driver.first_listed()).await;
         }
+        if let Some(turn) = turn {
+            turn.await;
+        }
         front.accept(listener).await;
     };
     tokio::pin!(accepting, stop);
--- a/crates/plankvale/src/succession.rs
+++ b/crates/plankvale/src/succession.rs
@@ -1,44 +1,83 @@
 //! A new version of the daemon beside the old one: who holds the seat, and connections on their way.
 
+use std::future::{Future, ready};
+use std::io;
 use std::path::PathBuf;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use millethook_engine::names::stable_hash;
-use millethook_handover::seat::{Predecessor, Seat, Successor};
+use millethook_handover::incumbent::Incumbent;
+use millethook_handover::seat::{Passed, Predecessor, Seat, Successor};
+use millethook_http::guard::OpenIds;
 use millethook_http::ingress::{self, Ingress};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 /// After a failed accept.
 const PAUSE: Duration = Duration::from_millis(20);
 
-/// Takes the seat of this sidecar, in the folder that its processes share (`TMPDIR`). Without that
-/// folder, or where it cannot be written to, the daemon serves all the same, and drains at its end.
-pub fn take_seat(name: &str) -> Option<Rc<Seat>> {
-    let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty())?;
-    // A name may hold what no file's name can, and a socket's path is short.
-    let file = format!("plankvale-{:016x}.seat", stable_hash(name.as_bytes()));
-    let path = PathBuf::from(folder).join(file);
-    match Seat::take(&path) {
-        Ok(seat) => Some(Rc::new(seat)),
-        Err(e) => {
-            tracing::warn!(
-                event = "handover_off",
-                "no connections can be passed on at an upgrade: {}: {e}",
-                path.display()
-            );
-            None
+/// The place of this process among those of one sidecar.
+pub struct Place {
+    /// The seat, from which the next process can be found.
+    pub seat: Rc<Seat>,
+    /// Who held it before.
+    incumbent: Option<Incumbent>,
+    /// Whether the process before this one has begun to hand over.
+    begun: watch::Sender<bool>,
+}
+
+impl Place {
+    /// Takes the seat of this sidecar, in the folder that its processes share (`TMPDIR`). Without that
+    /// folder, or where it cannot be written to, the daemon serves all the same, and drains at its end.
+    pub fn take(name: &str) -> Option<Place> {
+        let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty())?;
+        // A name may hold what no file's name can, and a socket's path is short.
+        let file = format!("plankvale-{:016x}.seat", stable_hash(name.as_bytes()));
+        let path = PathBuf::from(folder).join(file);
+        let incumbent = Incumbent::at(&path);
+        match Seat::take(&path) {
+            Ok(seat) => {
+                Some(Place { seat: seat.into(), incumbent, begun: watch::Sender::new(false) })
+            }
+            Err(e) => {
+                tracing::warn!(
+                    event = "handover_off",
+                    "no connections can be passed on at an upgrade: {}: {e}",
+                    path.display()
+                );
+                None
+            }
+        }
+    }
+
+    /// Goes on with what processes before this one pass on. The future is done once it is this process's turn to take
+    /// requests: the one before it has begun to hand over, has ended, or says nothing.
+    pub fn succeed(self, ingress: Rc<Ingress>, ids: Rc<OpenIds>) -> impl Future<Output = ()> {
+        let Place { seat, incumbent, begun } = self;
+        let mut turn = begun.subscribe();
+        spawn_local(adopt(seat, ingress, ids, begun));
+        async move {
+            let Some(incumbent) = incumbent else { return };
+            tokio::select! {
+                _ = turn.wait_for(|begun| *begun) => {}
+                () = incumbent.ended() => {}
+            }
         }
     }
 }
 
-/// Goes on with the connections that processes before this one pass on.
-pub async fn adopt(seat: Rc<Seat>, ingress: Rc<Ingress>) {
+/// Goes on with what processes before this one pass on.
+async fn adopt(seat: Rc<Seat>, ingress: Rc<Ingress>, ids: Rc<OpenIds>, begun: watch::Sender<bool>) {
     loop {
         match seat.predecessor().await {
-            Ok(predecessor) => drop(spawn_local(take_over(predecessor, ingress.clone()))),
+            Ok(predecessor) => {
+                let taking = take_over(predecessor, ingress.clone(), ids.clone(), begun.clone());
+                drop(spawn_local(taking));
+            }
             Err(e) => {
                 tracing::warn!(
                     event = "handover_failed",
@@ -50,15 +89,30 @@
     }
 }
 
-async fn take_over(predecessor: Predecessor, ingress: Rc<Ingress>) {
+async fn take_over(
+    predecessor: Predecessor,
+    ingress: Rc<Ingress>,
+    ids: Rc<OpenIds>,
+    begun: watch::Sender<bool>,
+) {
     let mut taken = 0;
     loop {
-        match predecessor.next().await {
-            Ok(Some((socket, asked))) => {
+        let passed = predecessor.next().await;
+        // One that only asks whether this process lives passes nothing on.
+        if let Ok(Some(_)) = passed {
+            begun.send_replace(true);
+        }
+        match passed {
+            Ok(Some(Passed::Connection(socket, asked))) => {
                 let Ok(socket) = TcpStream::from_std(socket) else { continue };
                 ingress.adopt(socket, asked != 0).await;
                 taken += 1;
             }
+            Ok(Some(Passed::Ids(open))) => ids.take_over(open),
+            Ok(Some(Passed::Claim(claim))) => {
+                let granted = ids.claim(claim.id);
+                claim.answer(granted);
+            }
             Ok(None) => break,
             Err(e) => {
                 tracing::warn!(event = "handover_failed", "the process before this one: {e}");
@@ -66,16 +120,34 @@
             }
         }
     }
-    tracing::info!(
-        event = "took_over",
-        "went on with {taken} connections of the process before this one"
-    );
+    if taken > 0 {
+        tracing::info!(
+            event = "took_over",
+            "went on with {taken} connections of the process before this one"
+        );
+    }
 }
 
 /// The process after this one, as clients' connections see it.
 pub struct Next(pub Successor);
 
 impl ingress::Successor for Next {
+    fn pass_ids(&self, ids: &[u64]) {
+        if let Err(e) = self.0.pass_ids(ids) {
+            tracing::warn!(event = "ids_stay", "the ids that are in use stay here: {e}");
+        }
+    }
+
+    fn claim(&self, id: u64) -> Pin<Box<dyn Future<Output = Option<bool>>>> {
+        match self.0.claim(id) {
+            Ok(asked) => Box::pin(asked.granted()),
+            // So much is under way to it that no more fits.
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Box::pin(ready(None)),
+            // It has ended, and nobody else can have the id.
+            Err(_) => Box::pin(ready(Some(true))),
+        }
+    }
+
     fn pass(&self, connection: &TcpStream, asked: bool) -> bool {
         let passed = self.0.pass(connection, asked.into());
         if let Err(e) = &passed {
--- a/crates/plankvale/tests/sidecar/upgrade.rs
+++ b/crates/plankvale/tests/sidecar/upgrade.rs
@@ -91,9 +91,7 @@
     assert_eq!(log.count(), 50);
 }
 
-/// What callers see: an effect runs twice. What happens: a process refuses a request under an id that it has open, but an
-/// upgrade hands on connections and listeners, not the ids of open requests. The process that follows takes the same id
-/// once more while the one before still waits for its answer. Open (`KNOWN-RED.txt`).
+/// Guards against an effect that runs twice: a request under an id that the process before has open.
 #[test]
 fn an_id_that_is_open_at_the_process_before_is_not_taken_again() {
     let (asked, told) = channel();
@@ -137,6 +135,64 @@
     assert_eq!(log.count(), 1, "the order ran once");
 }
 
+/// Guards against the same while both processes run, before the old one is told to end.
+#[test]
+fn the_next_process_takes_no_request_before_it_is_handed_over() {
+    let agent = Agent::start(hosts(&[Server::named("a")]));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let folder = Folder::new("turn");
+    let config = operated(&agent, &listener);
+    let mut old = Sidecar::launch_beside(&config, &listener, &folder.0);
+    within("the old one is ready", || old.operate("GET /v1/readyz").status() == 200);
+    let mut new = Sidecar::launch_beside(&config, &listener, &folder.0);
+    within("the new one is ready", || new.operate("GET /v1/readyz").status() == 200);
+    for _ in 0..50 {
+        assert_eq!(old.ask(safe()).status(), 200);
+    }
+    assert_eq!(old.figure("sidecar.succeeded.look"), 50);
+    assert_eq!(new.figure("sidecar.succeeded.look"), 0);
+    old.terminate();
+    assert_eq!(old.exit_code(), Some(0));
+    assert_eq!(new.ask(safe()).status(), 200);
+    // One that was killed hands nothing over.
+    let last = Sidecar::launch_beside(&config, &listener, &folder.0);
+    within("the last one is ready", || last.operate("GET /v1/readyz").status() == 200);
+    new.child.kill().expect("killed");
+    assert_eq!(last.ask(safe()).status(), 200);
+}
+
+/// Guards against the same where the old process reads the id only once it has begun to hand over.
+#[test]
+fn an_id_that_the_process_before_reads_late_is_taken_once() {
+    let (servers, log, seen) = servers(2, |mut conn, _| {
+        conn.send(ok("served"));
+        Some(conn)
+    });
+    let agent = Agent::start(hosts(&servers));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let folder = Folder::new("late");
+    let config = operated(&agent, &listener);
+    let old = Sidecar::launch_beside(&config, &listener, &folder.0);
+    within("the old one is ready", || old.operate("GET /v1/readyz").status() == 200);
+    let order = unsafe_with("x");
+    let (first, rest) = order.split_at(order.len() / 2);
+    let mut late = old.client();
+    // The old process reads this part before it answers another request.
+    late.send(first);
+    assert_eq!(old.ask(safe()).status(), 200);
+    let new = Sidecar::launch_beside(&config, &listener, &folder.0);
+    within("the new one is ready", || new.operate("GET /v1/readyz").status() == 200);
+    old.terminate();
+    old.logged("a successor goes on");
+    let mut second = new.client();
+    assert_eq!(second.message_to(&order).expect("an answer").status(), 200);
+    late.send(rest);
+    assert_eq!(late.message().expect("an answer").status(), 409);
+    assert_eq!(log.count(), 2);
+    let orders = seen.try_iter().filter(|seen| seen.message.first.contains("/order")).count();
+    assert_eq!(orders, 1, "the order ran once");
+}
+
 #[test]
 fn upgrades_follow_one_another() {
     let agent = Agent::start(hosts(&[Server::named("a")]));
