--- a/crates/millethook-testkit/src/message.rs
+++ b/crates/millethook-testkit/src/message.rs
@@ -78,6 +78,11 @@
         let _ = self.socket.write_all(bytes.as_ref());
     }
 
+    /// Waits for the first byte of the next message, and leaves it there. False: the connection ended first.
+    pub fn begins(&mut self) -> bool {
+        self.reader.fill_buf().is_ok_and(|bytes| !bytes.is_empty())
+    }
+
     /// Reads a head; None: the connection ended first.
     ///
     /// A message that holds a field twice that may stand once only fails the test. Nobody gets it; a request is
--- a/crates/plankvale/tests/conformance/main.rs
+++ b/crates/plankvale/tests/conformance/main.rs
@@ -8,3 +8,4 @@
 mod invalid;
 mod lists;
 mod outcomes;
+mod stale_copies;
