--- a/crates/plankvale/tests/conformance/main.rs
+++ b/crates/plankvale/tests/conformance/main.rs
@@ -4,6 +4,7 @@
 mod form;
 
 mod bodies;
+mod copies;
 mod ends;
 mod invalid;
 mod lists;
