--- a/crates/plankvale/tests/conformance/copies.rs
+++ b/crates/plankvale/tests/conformance/copies.rs
@@ -9,7 +9,10 @@
 
 use crate::form::{Ask, End, Form, in_both_forms};
 
-in_both_forms!(a_copy_that_comes_behind_the_whole_request_is_not_its_answer);
+in_both_forms!(
+    a_copy_that_comes_behind_the_whole_request_is_not_its_answer,
+    a_copy_of_a_long_answer_is_not_the_next_one,
+);
 
 /// So many requests a server answers once each, on all its connections together.
 const WELL: usize = 20;
@@ -17,6 +20,8 @@
 const WORK: Duration = Duration::from_millis(150);
 /// Between two requests: what comes behind an answer at once is seen by then.
 const PAUSE: Duration = Duration::from_millis(10);
+/// More than an answer that is held whole.
+const LONG: usize = 80 << 10;
 
 /// A server whose answers begin with the ids of their requests. It turns bad after [`WELL`] of them: from then on the answer
 /// before comes once more when the next request on its connection is whole, and that one's own behind it. How many copies it
@@ -69,3 +74,10 @@
     assert_eq!(wrong, 0, "of {copies} copies so many were served");
     true
 }
+
+/// Guards against the same of an answer that is passed on as it comes, and never looked at whole.
+fn a_copy_of_a_long_answer_is_not_the_next_one<F: Form>() -> bool {
+    let (wrong, copies) = wrong_answers::<F>(LONG, std::iter::repeat_with(Ask::safe));
+    assert_eq!(wrong, 0, "of {copies} copies so many were served");
+    true
+}
