--- a/crates/plankvale/tests/conformance/copies.rs
+++ b/crates/plankvale/tests/conformance/copies.rs
@@ -1,7 +1,7 @@
 //! Servers that answer twice: the second copy is nobody else's answer.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -12,6 +12,7 @@
 in_both_forms!(
     a_copy_that_comes_behind_the_whole_request_is_not_its_answer,
     a_copy_of_a_long_answer_is_not_the_next_one,
+    a_refusal_that_comes_twice_makes_no_other_request_run_twice,
 );
 
 /// So many requests a server answers once each, on all its connections together.
@@ -81,3 +82,43 @@
     assert_eq!(wrong, 0, "of {copies} copies so many were served");
     true
 }
+
+/// Guards against a second copy of a refusal that is taken for a proof that the next request never ran. That one is sent
+/// again, or refused, and takes effect.
+fn a_refusal_that_comes_twice_makes_no_other_request_run_twice<F: Form>() -> bool {
+    const TURNS_AWAY: &str = "HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
+    let ran: Arc<Mutex<Vec<Vec<u8>>>> = Arc::default();
+    // On each connection the first request is turned away; the second one runs, and gets both answers.
+    let start = |_| {
+        let ran = ran.clone();
+        Server::start(move |mut conn| {
+            for nth in 0.. {
+                let Some(message) = conn.message().filter(|m| m.whole) else { return };
+                if nth > 0 {
+                    ran.lock().expect("a log").push(message.body);
+                }
+                if nth < 2 {
+                    conn.send(TURNS_AWAY);
+                }
+                if nth > 0 {
+                    conn.send(ok("done"));
+                }
+            }
+        })
+    };
+    let servers: Vec<Server> = (0..2).map(start).collect();
+    let agent = Agent::start(hosts(&servers));
+    let form = F::start(&config(agent.address, |_| {}));
+    let ask = |n: usize| {
+        thread::sleep(PAUSE);
+        form.ask(Ask::at_most_once().body(format!("order {n}").into()))
+    };
+    let ends: Vec<End> = (0..2 * WELL).map(ask).collect();
+    let ran = ran.lock().expect("a log");
+    for (n, end) in ends.iter().enumerate() {
+        let times = ran.iter().filter(|body| **body == format!("order {n}").into_bytes()).count();
+        let most = usize::from(!matches!(end, End::Refused { .. }));
+        assert!(times <= most, "order {n} ran {times} times and ended as {end:?}");
+    }
+    true
+}
