--- a/crates/millethook-engine/src/upstream/attempt/mod.rs
+++ b/crates/millethook-engine/src/upstream/attempt/mod.rs
@@ -198,8 +198,9 @@
         let report = head.headers.get("x-backend-load").and_then(|v| v.to_str().ok());
         let report = report.map(|text| self.names.report(text)).unwrap_or_default();
         if !is_served(self.config.begins, head.status) {
-            let outcome = if turns_away(&head) { Outcome::Full } else { Outcome::Error };
-            spawn_local(discard(running));
+            let turned_away = turns_away(&head);
+            let outcome = if turned_away { Outcome::Full } else { Outcome::Error };
+            spawn_local(discard(running, turned_away));
             return AttemptOutcome::end(outcome, report);
         }
         let length = head.length;
@@ -240,7 +241,10 @@
 }
 
 /// Reads what is left of a short answer, so that its connection can be used again.
-async fn discard(mut running: Running) {
+///
+/// A connection whose request was turned away carries no other: a second copy of that answer would tell of the next
+/// request that it never ran, and have it sent again or refused.
+async fn discard(mut running: Running, turned_away: bool) {
     let rest = async {
         let mut left = WHOLE;
         loop {
@@ -251,7 +255,9 @@
             }
         }
     };
-    if let Ok(Some(())) = timeout(DISCARD, rest).await {
-        running.lease.end(&running.exchange);
+    match timeout(DISCARD, rest).await {
+        Ok(Some(())) if turned_away => running.lease.close(),
+        Ok(Some(())) => running.lease.end(&running.exchange),
+        Ok(None) | Err(_) => {}
     }
 }
