--- a/crates/millethook-config/src/lib.rs
+++ b/crates/millethook-config/src/lib.rs
@@ -113,6 +113,17 @@
     pub opening: Option<usize>,
     /// Connections opened ahead while use rises.
     pub spare: Option<usize>,
+    /// For how many requests each is used.
+    pub reuse: Option<Reuse>,
+}
+
+/// For how many requests a connection to a server is used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reuse {
+    /// For any number: which request an answer was made for is not proven.
+    Unlimited,
+    /// For two, so that each answer is proven to be its request's own.
+    Proven,
 }
 
 /// What is done about slow and silent servers.
@@ -285,6 +296,10 @@
                 per_server: r.count("per_server", 1..=65_535),
                 opening: r.count("opening", 1..=65_535),
                 spare: r.count("spare", 0..=65_535),
+                reuse: r.word("reuse", &["unlimited", "proven"]).map(|word| match word.as_str() {
+                    "proven" => Reuse::Proven,
+                    _ => Reuse::Unlimited,
+                }),
             };
         });
         r.section("failover", |r| {
--- a/crates/millethook-connect/src/exchange.rs
+++ b/crates/millethook-connect/src/exchange.rs
@@ -163,6 +163,16 @@
         self.decoder.has_head() || !buf.is_empty()
     }
 
+    /// The whole answer that was read was made for an earlier request: the next one is read in its place.
+    pub fn skip_answer(&mut self) {
+        self.decoder = Decoder::default();
+    }
+
+    /// Whether the answer's head has come and says that the connection ends behind it.
+    pub fn announces_end(&self) -> bool {
+        self.decoder.has_head() && !self.decoder.keeps_alive()
+    }
+
     /// Whether the connection may carry another request: all of both messages is through, the server
     /// keeps it open, and no byte has come beyond the answer.
     pub fn reusable(&self, buf: &BytesMut) -> bool {
--- a/crates/millethook-connect/src/exchange/tests.rs
+++ b/crates/millethook-connect/src/exchange/tests.rs
@@ -123,6 +123,29 @@
     }
 }
 
+/// Guards against an earlier answer that is taken for that of a request which asked for the connection's end.
+#[test]
+fn only_a_head_that_has_come_announces_the_end() {
+    let closes = OK.replacen("\r\n", "\r\nConnection: close\r\n", 1);
+    for (text, announced) in [(OK, false), (&closes, true), ("HTTP/1.1 200", false)] {
+        let mut exchange = at(Begins::Head, 13);
+        let _ = exchange.read(&mut BytesMut::from(text)).expect("no failure");
+        assert_eq!(exchange.announces_end(), announced, "{text:?}");
+    }
+}
+
+#[test]
+fn an_answer_to_an_earlier_request_is_skipped() {
+    let mut exchange = at(Begins::Head, 13);
+    let mut buf = BytesMut::from(format!("{OK}{OK}").as_str());
+    for _ in 0..2 {
+        assert_eq!(head(exchange.read(&mut buf)), Some(200));
+        while exchange.read(&mut buf).expect("an answer").is_some() {}
+        exchange.skip_answer();
+    }
+    assert!(buf.is_empty() && !exchange.answer_begun(&buf));
+}
+
 #[test]
 fn an_interim_answer_before_the_commit_point_changes_nothing() {
     let mut exchange = at(Begins::Whole, 11);
--- a/crates/millethook-connect/src/facts.rs
+++ b/crates/millethook-connect/src/facts.rs
@@ -67,6 +67,8 @@
     /// A connection that had carried an answer before has carried another one with nothing ahead of it or behind, and no
     /// stray bytes came since.
     proven: bool,
+    /// Its last answer to a request that asked for the connection's end announced that end.
+    announces_end: bool,
     /// How often in a row a connection was silent for as long as a server that nothing is known of is
     /// given.
     silent: u32,
@@ -119,6 +121,16 @@
         !self.proven || is_recent(self.strayed, now)
     }
 
+    /// Whether the server announces the end of a connection where a request asks for it.
+    pub fn announces_end(&self) -> bool {
+        self.announces_end
+    }
+
+    /// A request that asked for its connection's end was answered; `announced`: the answer's head says that it ends.
+    pub fn end_was_asked(&mut self, announced: bool) {
+        self.announces_end = announced;
+    }
+
     fn stray_lag(&self, now: Instant) -> Option<Duration> {
         let (lag, seen) = self.stray?;
         let halves = now.saturating_duration_since(seen).as_secs_f64();
--- a/crates/millethook-connect/src/pool.rs
+++ b/crates/millethook-connect/src/pool.rs
@@ -28,7 +28,7 @@
 
 pub use checkout::{Checkout, Look};
 pub use counts::{Counts, Ended};
-pub use limits::Limits;
+pub use limits::{Limits, Reuse};
 use server::{IdleConnection, Server};
 
 /// After so many spans without a connection what is known of a server is forgotten. Without this, the pool would grow
@@ -142,7 +142,8 @@
     pub fn release(&mut self, key: K, connection: C, now: Instant) {
         let Some(server) = self.servers.get_mut(&key) else { return };
         server.in_use = server.in_use.saturating_sub(1);
-        if !server.gone || mutant::is(Mutant::ReleasedToGone) {
+        let kept = !server.gone && server.may_reuse(self.limits.reuse);
+        if kept || mutant::is(Mutant::ReleasedToGone) {
             let quarantined_until = now + server.facts.quarantine(now);
             server.resting.push_back(IdleConnection { connection, since: now, quarantined_until });
             self.resting += 1;
@@ -215,6 +216,24 @@
         self.servers.get(&key).is_none_or(|server| server.facts.answers_in_doubt(now))
     }
 
+    /// Whether the server announces the end of a connection where a request asks for it, as its last answer to such a
+    /// request showed.
+    pub fn announces_end(&self, key: K) -> bool {
+        self.servers.get(&key).is_some_and(|server| server.facts.announces_end())
+    }
+
+    /// A request that asked for its connection's end was answered; `announced`: the answer's head says that it ends.
+    ///
+    /// Without it nothing that has carried an answer is used again where answers have to be proven.
+    pub fn end_was_asked(&mut self, key: K, announced: bool) {
+        if let Some(server) = self.servers.get_mut(&key) {
+            server.facts.end_was_asked(announced);
+        }
+        if !announced {
+            self.close_idle(key, false);
+        }
+    }
+
     /// Looks at every connection at rest and drops those that are of no more use. Returns how many.
     pub fn watch(&mut self, now: Instant, mut look: impl FnMut(&C) -> Look) -> usize {
         let (limits, ended) = (self.limits, &mut self.ended);
--- a/crates/millethook-connect/src/pool/limits.rs
+++ b/crates/millethook-connect/src/pool/limits.rs
@@ -1,7 +1,44 @@
 //! What bounds connections.
 
+use std::fmt;
+use std::str::FromStr;
 use std::time::Duration;
 
+/// For how many requests a connection is used.
+///
+/// An answer does not name its request (RFC 9112, section 9.3.2: order alone tells). A server that sends an answer twice
+/// may send the second copy once the next request on the connection has begun, and it looks like that one's answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Reuse {
+    /// For any number. An answer that comes late enough is taken for that of the request under way.
+    #[default]
+    Unlimited,
+    /// For two. The second request asks for the connection's end, and its answer has to announce it. No earlier answer
+    /// on the connection did, so none of them can be taken for it.
+    Proven,
+}
+
+impl FromStr for Reuse {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Reuse, String> {
+        match text {
+            "unlimited" => Ok(Reuse::Unlimited),
+            "proven" => Ok(Reuse::Proven),
+            other => Err(format!("\"unlimited\" or \"proven\" expected, not {other:?}")),
+        }
+    }
+}
+
+impl fmt::Display for Reuse {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Reuse::Unlimited => "unlimited",
+            Reuse::Proven => "proven",
+        })
+    }
+}
+
 /// What bounds connections to one server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -14,10 +51,18 @@
     pub spare: usize,
     /// How long servers keep a connection at rest, as they say.
     pub idle: Duration,
+    /// For how many requests each is used.
+    pub reuse: Reuse,
 }
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits { per_server: 1024, opening: 8, spare: 0, idle: Duration::from_secs(10) }
+        Limits {
+            per_server: 1024,
+            opening: 8,
+            spare: 0,
+            idle: Duration::from_secs(10),
+            reuse: Reuse::default(),
+        }
     }
 }
--- a/crates/millethook-connect/src/pool/server.rs
+++ b/crates/millethook-connect/src/pool/server.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Instant;
 
+use super::Reuse;
 use crate::facts::Facts;
 
 #[derive(Debug)]
@@ -48,6 +49,11 @@
         self.resting.len() + self.opening + self.in_use
     }
 
+    /// Whether a connection that has carried an answer may carry a request.
+    pub(super) fn may_reuse(&self, reuse: Reuse) -> bool {
+        reuse == Reuse::Unlimited || self.facts.announces_end()
+    }
+
     pub(super) fn use_one(&mut self) {
         self.in_use += 1;
         self.peak = self.peak.max(self.in_use);
--- a/crates/millethook-connect/src/request.rs
+++ b/crates/millethook-connect/src/request.rs
@@ -4,7 +4,7 @@
 use std::io::{IoSlice, Write};
 
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, HOST, HeaderName, HeaderValue, TRANSFER_ENCODING};
+use http::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use http::{HeaderMap, Method, Uri};
 
 /// The most pieces that are written at once.
@@ -18,7 +18,17 @@
 ///
 /// Without this list a server gets two values for one field: the caller's own and the encoder's behind it, and
 /// which of them it believes is its choice. `host` is the one whose value the caller may give.
-pub static OWNED: [&HeaderName; 4] = [&HOST, &CONTENT_LENGTH, &TRANSFER_ENCODING, &TIME_LEFT];
+pub static OWNED: [&HeaderName; 5] =
+    [&HOST, &CONTENT_LENGTH, &TRANSFER_ENCODING, &TIME_LEFT, &CONNECTION];
+
+/// What a request says of its connection (RFC 9112, section 9.6).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Persistence {
+    /// Nothing: the connection may carry another request.
+    KeepAlive,
+    /// `Connection: close`: it is the connection's last request.
+    Close,
+}
 
 /// The parts of a request that all its attempts share, encoded once (RFC 9112, sections 3 and 5).
 #[derive(Debug)]
@@ -97,11 +107,17 @@
         EncodedRequest { head, host: headers.get(HOST).cloned(), body, body_len, chunked }
     }
 
-    /// The head of one attempt: with its own [`TIME_LEFT`], and with `host` where the request names
-    /// none.
-    pub fn head_into(&self, out: &mut Vec<u8>, left_ms: u64, host: impl Display) {
+    /// The head of one attempt: with its own [`TIME_LEFT`], with `host` where the request names none, and with what it
+    /// says of its connection.
+    pub fn head_into(
+        &self,
+        out: &mut Vec<u8>,
+        left_ms: u64,
+        host: impl Display,
+        persistence: Persistence,
+    ) {
         out.clear();
-        // Room for the two fields that follow.
+        // Room for the fields that follow.
         out.reserve(self.head.len() + self.host.as_ref().map_or(0, HeaderValue::len) + 96);
         out.extend_from_slice(&self.head);
         // Writing to a vector does not fail.
@@ -110,7 +126,11 @@
             Some(named) => out.extend_from_slice(named.as_bytes()),
             None => drop(write!(out, "{host}")),
         }
-        let _ = write!(out, "\r\n{TIME_LEFT}: {left_ms}\r\n\r\n");
+        let _ = write!(out, "\r\n{TIME_LEFT}: {left_ms}\r\n");
+        if persistence == Persistence::Close {
+            out.extend_from_slice(b"connection: close\r\n");
+        }
+        out.extend_from_slice(b"\r\n");
     }
 
     /// Whether the body goes out in chunks.
--- a/crates/millethook-connect/src/request/tests.rs
+++ b/crates/millethook-connect/src/request/tests.rs
@@ -5,7 +5,7 @@
 
 fn text(request: &EncodedRequest, host: &str) -> String {
     let mut head = Vec::new();
-    request.head_into(&mut head, 480, host);
+    request.head_into(&mut head, 480, host, Persistence::KeepAlive);
     String::from_utf8(head).expect("text")
 }
 
--- a/crates/millethook-connect/src/response.rs
+++ b/crates/millethook-connect/src/response.rs
@@ -158,6 +158,11 @@
         self.state != State::Head
     }
 
+    /// Whether the head, once it has come, lets the connection carry another answer.
+    pub fn keeps_alive(&self) -> bool {
+        self.keep_alive
+    }
+
     /// Whether the whole answer has come, and its connection may carry another one.
     pub fn reusable(&self) -> bool {
         self.state == State::Done && self.keep_alive
--- a/crates/millethook-engine/src/product.rs
+++ b/crates/millethook-engine/src/product.rs
@@ -3,7 +3,7 @@
 use coppercart::settings::{Failover, Settings};
 use http::{HeaderName, Uri};
 use millethook_config::{Membership, Product};
-use millethook_connect::pool::Limits;
+use millethook_connect::pool::{Limits, Reuse};
 use millethook_membership::store::Store;
 
 use crate::fleet::FleetSettings;
@@ -56,10 +56,18 @@
         per_server: given.per_server.unwrap_or(usual.per_server),
         opening: given.opening.unwrap_or(usual.opening),
         spare: given.spare.unwrap_or(usual.spare),
+        reuse: given.reuse.map_or(usual.reuse, reuse),
         ..usual
     }
 }
 
+fn reuse(given: millethook_config::Reuse) -> Reuse {
+    match given {
+        millethook_config::Reuse::Unlimited => Reuse::Unlimited,
+        millethook_config::Reuse::Proven => Reuse::Proven,
+    }
+}
+
 /// How the view of the fleet is kept, if it is.
 pub fn fleet(product: &Product) -> Option<FleetSettings> {
     let of = product.fleet.as_ref()?;
--- a/crates/millethook-engine/src/upstream/attempt/mod.rs
+++ b/crates/millethook-engine/src/upstream/attempt/mod.rs
@@ -14,6 +14,8 @@
 use http::{HeaderMap, StatusCode};
 use millethook_connect::exchange::turns_away;
 use millethook_connect::facts::Caught;
+use millethook_connect::pool::Reuse;
+use millethook_connect::request::Persistence;
 use millethook_connect::{Begins, Event, Exchange, Execution, ResponseHead};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
@@ -116,7 +118,11 @@
                 return AttemptOutcome::end(Outcome::Moot, none());
             }
             let at = (server, dial);
-            let running = match self.ask(at, lease, rested, request, &gate, until).await {
+            let asked = match self.ask(at, lease, rested, request, &gate, until).await {
+                Ok((running, head)) => self.own_head(running, head).await,
+                Err(running) => Err(running),
+            };
+            let running = match asked {
                 Ok((running, head)) => return self.answer(running, head, request, until).await,
                 Err(running) => running,
             };
@@ -158,8 +164,9 @@
         // nowhere else, had all of it been written.
         let trial = self.pool.borrow().trial(server, rested, request.repeatable, now);
         let trial = trial.filter(|trial| *trial <= left / TRIAL_SHARE);
+        let persistence = self.persistence(server, lease.is_used());
         let mut head = Vec::new();
-        request.encoded.head_into(&mut head, left.as_millis() as u64, dial);
+        request.encoded.head_into(&mut head, left.as_millis() as u64, dial, persistence);
         let body = request.encoded.body_len();
         let mut exchange = Exchange::new(self.config.begins, head.len(), body, trial.is_some());
         if request.upload.is_some() {
@@ -168,6 +175,7 @@
         let figures = (!request.own_page).then(|| self.figures.clone());
         let message = (request.clone(), head);
         let mut running = Running::new(lease, exchange, message, gate.clone(), figures);
+        running.persistence = persistence;
         let mut event = None;
         if let Some(trial) = trial {
             event = timeout(trial, running.event(false)).await.ok();
@@ -187,6 +195,17 @@
         }
     }
 
+    /// What a request on a connection to `server` says of that connection. Where answers are proven, all but the first
+    /// request on a connection ask for its end, and so does each one to a server that is not known to announce it.
+    fn persistence(&self, server: ServerId, used: bool) -> Persistence {
+        let proven = self.config.limits.reuse == Reuse::Proven;
+        if proven && (used || !self.pool.borrow().announces_end(server)) {
+            Persistence::Close
+        } else {
+            Persistence::KeepAlive
+        }
+    }
+
     async fn answer(
         self: &Rc<Upstream>,
         mut running: Running,
--- a/crates/millethook-engine/src/upstream/attempt/own_answer.rs
+++ b/crates/millethook-engine/src/upstream/attempt/own_answer.rs
@@ -2,9 +2,14 @@
 //!
 //! An answer does not name its request. A server that answers twice may send the second copy only once the next request
 //! on the connection has begun; the true answer then follows it. A connection that carries its first answer has no
-//! earlier one. On a used one, bytes behind the answer are looked at, and where the server has proven nothing yet, the
-//! connection is ended, so that all that the server has to send is here before the answer is served. That is for requests
-//! that may be repeated; others are held back before their last byte more often, and a doubt would leave them failed.
+//! earlier one. On a used one it depends on [`Reuse`](millethook_connect::pool::Reuse):
+//!
+//! - Proven: the request asks for the connection's end, and only an answer that announces the end is its own. An earlier
+//!   answer that had announced it would have been the connection's last one.
+//! - Unlimited: bytes behind the answer are looked at, and where the server has proven nothing yet, the connection is
+//!   ended, so that all that the server has to send is here before the answer is served. That is for requests that may
+//!   be repeated; others are held back before their last byte more often, and a doubt would leave them failed. A server
+//!   that was well and turns bad, and one that drops its work when our side ends, get an earlier answer through.
 
 use std::future::poll_fn;
 use std::task::{Context, Poll, ready};
@@ -12,13 +17,19 @@
 
 use coppercart::api::ServerId;
 use http::StatusCode;
-use millethook_connect::Progress;
 use millethook_connect::facts::Caught;
+use millethook_connect::request::Persistence;
 use millethook_connect::response::is_other_answer;
+use millethook_connect::{Event, Progress, ResponseHead};
+use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+use super::running::Broken;
 use super::{AttemptRequest, Running, Upstream, WHOLE};
 
+/// How many answers to earlier requests may come ahead of a request's own. A connection has carried one.
+const MOST_SKIPPED: usize = 2;
+
 /// The first bytes of a request call forth no answer that takes longer than this.
 const QUICK_ANSWER: Duration = Duration::from_millis(20);
 /// How long a server may take to end its side of a connection once the other side has ended.
@@ -27,6 +38,41 @@
 const SERVER_END_SHARE: u32 = 4;
 
 impl Upstream {
+    /// The head of the request's own answer, `head` being the first that came. Answers to earlier requests are skipped.
+    ///
+    /// Without this a second copy of an earlier answer would be passed on, or, where it turned that request away, taken
+    /// for a proof that this one never ran.
+    ///
+    /// # Errors
+    /// Too many answers came ahead, or the connection broke.
+    pub(super) async fn own_head(
+        &self,
+        mut running: Running,
+        mut head: ResponseHead,
+    ) -> Result<(Running, ResponseHead), Running> {
+        for _ in 0..=MOST_SKIPPED {
+            if self.is_own_head(&running) {
+                return Ok((running, head));
+            }
+            match running.next_head().await {
+                Ok(next) => head = next,
+                Err(Broken) => break,
+            }
+        }
+        Err(running)
+    }
+
+    /// Whether an answer's head may be that of its request, as far as the head tells. Takes note of whether the server
+    /// announces the end of a connection that was asked for.
+    fn is_own_head(&self, running: &Running) -> bool {
+        if running.persistence == Persistence::KeepAlive {
+            return true;
+        }
+        let announced = running.exchange.announces_end();
+        self.pool.borrow_mut().end_was_asked(running.lease.server(), announced);
+        announced || !running.lease.is_used()
+    }
+
     /// Whether a whole answer is its request's own, as far as can be told. Gives the connection back, or ends it.
     pub(super) async fn is_own_answer(
         &self,
@@ -36,24 +82,45 @@
         body: &[u8],
         until: Instant,
     ) -> bool {
-        if !running.lease.is_used() {
-            running.lease.end(&running.exchange);
-            return true;
+        match running.persistence {
+            Persistence::KeepAlive if !running.lease.is_used() => {
+                running.lease.end(&running.exchange);
+                true
+            }
+            Persistence::KeepAlive => {
+                self.is_likely_own(running, request, status, body, until).await
+            }
+            Persistence::Close => {
+                let used = running.lease.is_used();
+                if used && self.is_contradicted(&mut running, status, body) {
+                    return false;
+                }
+                spawn_local(running.close_after_server());
+                true
+            }
         }
+    }
+
+    /// Whether an answer on a used connection that goes on is likely its request's own.
+    async fn is_likely_own(
+        &self,
+        mut running: Running,
+        request: &AttemptRequest,
+        status: StatusCode,
+        body: &[u8],
+        until: Instant,
+    ) -> bool {
         let server = running.lease.server();
         let ended = request.repeatable && self.is_in_doubt(&running, server);
         if ended {
+            if let Some(connection) = running.lease.connection() {
+                connection.finish_writing();
+            }
             let left = until.saturating_duration_since(Instant::now());
-            let patience = SERVER_END.min(left / SERVER_END_SHARE);
             // A server that does not end its side has at least sent nothing more in that time.
-            let _ = timeout(patience, poll_fn(|cx| running.poll_end(cx))).await;
+            running.server_end(SERVER_END.min(left / SERVER_END_SHARE)).await;
         }
-        let Some(behind) = running.lease.connection().map(|connection| connection.buf.clone())
-        else {
-            return false;
-        };
-        if is_other_answer(behind, status, body) {
-            self.pool.borrow_mut().caught(server, Caught::Stray, Instant::now());
+        if self.is_contradicted(&mut running, status, body) {
             return false;
         }
         if ended {
@@ -64,6 +131,17 @@
         true
     }
 
+    /// Whether another answer that differs stands behind this one. The server is caught with it.
+    fn is_contradicted(&self, running: &mut Running, status: StatusCode, body: &[u8]) -> bool {
+        let Some(connection) = running.lease.connection() else { return true };
+        let other = is_other_answer(connection.buf.clone(), status, body);
+        if other {
+            let server = running.lease.server();
+            self.pool.borrow_mut().caught(server, Caught::Stray, Instant::now());
+        }
+        other
+    }
+
     fn is_in_doubt(&self, running: &Running, server: ServerId) -> bool {
         running.exchange.progress() == Progress::Whole
             && running.began.elapsed() < QUICK_ANSWER
@@ -72,10 +150,35 @@
 }
 
 impl Running {
-    /// Ends the sending side and reads until the server has ended its own.
+    /// Reads to the end of an answer that belongs to an earlier request; the head of the one behind it.
+    async fn next_head(&mut self) -> Result<ResponseHead, Broken> {
+        let mut left = WHOLE;
+        while let Event::Data(piece) = self.event(false).await? {
+            left = left.checked_sub(piece.len()).ok_or(Broken)?;
+        }
+        self.exchange.skip_answer();
+        match self.event(false).await? {
+            Event::Head(head) => Ok(head),
+            Event::Data(_) | Event::End => Err(Broken),
+        }
+    }
+
+    /// Closes the connection once the server has ended its side. The side that ends first keeps the port occupied for a
+    /// minute or more, and of ports to one server a client has some 28,000.
+    async fn close_after_server(mut self) {
+        if self.exchange.announces_end() {
+            self.server_end(SERVER_END).await;
+        }
+        self.lease.close();
+    }
+
+    /// Reads what the server still sends until it ends its side, or for so long.
+    async fn server_end(&mut self, patience: Duration) {
+        let _ = timeout(patience, poll_fn(|cx| self.poll_end(cx))).await;
+    }
+
     fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         let Some(connection) = self.lease.connection() else { return Poll::Ready(()) };
-        connection.finish_writing();
         while connection.buf.len() <= WHOLE {
             match ready!(connection.poll_read(cx)) {
                 Ok(0) | Err(_) => break,
--- a/crates/millethook-engine/src/upstream/attempt/running.rs
+++ b/crates/millethook-engine/src/upstream/attempt/running.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use millethook_connect::request::{LAST_CHUNK, PIECES, chunk};
+use millethook_connect::request::{LAST_CHUNK, PIECES, Persistence, chunk};
 use millethook_connect::{EncodedRequest, Event, Exchange, Execution, Failure, Progress};
 use smallvec::SmallVec;
 use tokio::sync::mpsc;
@@ -35,6 +35,8 @@
     pub exchange: Exchange,
     /// When its first byte could go out.
     pub began: Instant,
+    /// What the request says of its connection.
+    pub persistence: Persistence,
     /// The request and its head, until all of it is out.
     message: Option<(Rc<AttemptRequest>, Vec<u8>)>,
     /// What has to hold until it may have run.
@@ -78,7 +80,8 @@
     ) -> Running {
         let began = Instant::now();
         let message = Some(message);
-        Running { lease, exchange, began, message, gate, figures, following: None }
+        let persistence = Persistence::KeepAlive;
+        Running { lease, exchange, began, persistence, message, gate, figures, following: None }
     }
 
     /// Writes what may be written, and reads.
--- a/crates/millethook-engine/src/upstream/connection.rs
+++ b/crates/millethook-engine/src/upstream/connection.rs
@@ -73,6 +73,8 @@
     /// What has come and is not yet used.
     pub buf: BytesMut,
     dial: SocketAddr,
+    /// It has carried an answer.
+    used: bool,
     _permit: Permit,
 }
 
@@ -88,7 +90,8 @@
         let socket = timeout(patience, TcpStream::connect(dial)).await.ok()?.ok()?;
         let took = began.elapsed();
         socket.set_nodelay(true).ok()?;
-        Some((Connection { socket, shared, buf: BytesMut::new(), dial, _permit: permit }, took))
+        let (buf, used) = (BytesMut::new(), false);
+        Some((Connection { socket, shared, buf, dial, used, _permit: permit }, took))
     }
 
     /// How it is at this moment, while it rests; `dial` is where its server is.
@@ -163,23 +166,16 @@
     upstream: Rc<Upstream>,
     server: ServerId,
     connection: Option<Connection>,
-    /// It may have carried an answer before.
-    used: bool,
 }
 
 impl Lease {
-    pub fn new(
-        upstream: Rc<Upstream>,
-        server: ServerId,
-        connection: Connection,
-        used: bool,
-    ) -> Lease {
-        Lease { upstream, server, connection: Some(connection), used }
+    pub fn new(upstream: Rc<Upstream>, server: ServerId, connection: Connection) -> Lease {
+        Lease { upstream, server, connection: Some(connection) }
     }
 
-    /// Whether the connection may have carried an answer before.
+    /// Whether the connection has carried an answer before.
     pub fn is_used(&self) -> bool {
-        self.used
+        self.connection.as_ref().is_some_and(|connection| connection.used)
     }
 
     /// The connection; None once it is released.
@@ -192,11 +188,11 @@
         self.server
     }
 
-    /// Closes a used connection once its answer is whole.
+    /// Closes a connection once its answer is whole.
     pub fn close(mut self) {
         let Some(connection) = self.connection.take() else { return };
         let stray = !connection.buf.is_empty();
-        if !stray {
+        if connection.used && !stray {
             self.upstream.used_quietly(self.server);
         }
         drop(connection);
@@ -216,7 +212,7 @@
         if exchange.reusable(&connection.buf) {
             // Danger: thousands of connections at rest, each with room for an answer, are memory.
             connection.buf = BytesMut::new();
-            if self.used {
+            if std::mem::replace(&mut connection.used, true) {
                 self.upstream.used_quietly(self.server);
             }
             self.upstream.release(self.server, connection);
--- a/crates/millethook-engine/src/upstream/mod.rs
+++ b/crates/millethook-engine/src/upstream/mod.rs
@@ -191,7 +191,7 @@
             let settled = match found {
                 Checkout::Reuse(connection, rested) => {
                     self.spare(server, dial);
-                    let lease = Lease::new(self.clone(), server, connection, true);
+                    let lease = Lease::new(self.clone(), server, connection);
                     return Ok((lease, Some(rested)));
                 }
                 Checkout::Open => {
@@ -209,7 +209,7 @@
                             let opened = opening.open(dial, permit, patience).await;
                             let connection = opened.ok_or(Outcome::ConnectFailed)?;
                             self.spare(server, dial);
-                            let lease = Lease::new(self.clone(), server, connection, false);
+                            let lease = Lease::new(self.clone(), server, connection);
                             return Ok((lease, None));
                         }
                         None => self.pool.borrow().quarantined_until(server),
--- a/crates/millethook-testkit/src/daemon.rs
+++ b/crates/millethook-testkit/src/daemon.rs
@@ -93,13 +93,22 @@
 
     /// The same with this build of the daemon.
     pub fn start_program(program: &Path, config: &Value) -> Sidecar {
-        let sidecar = Sidecar::launch_program(program, config);
+        Sidecar::launch_program(program, config).ready()
+    }
+
+    /// The same with further variables.
+    pub fn start_with(config: &Value, env: &[(&str, &str)]) -> Sidecar {
+        Sidecar::launch_with(config, env).ready()
+    }
+
+    /// Waits until it is ready.
+    fn ready(self) -> Sidecar {
         within("ready", || {
-            let mut client = sidecar.client();
+            let mut client = self.client();
             client.send("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n");
             client.message().is_some_and(|m| m.status() == 200)
         });
-        sidecar
+        self
     }
 
     /// Starts one with further variables, and waits until it listens.
--- a/crates/millethook/src/config.rs
+++ b/crates/millethook/src/config.rs
@@ -130,6 +130,10 @@
             per_server: one("per_server", given_ones.per_server, usual.per_server)?,
             opening: one("opening", given_ones.opening, usual.opening)?,
             spare: given_ones.spare.unwrap_or(usual.spare),
+            reuse: given_ones
+                .reuse
+                .map_or(Ok(usual.reuse), |text| text.parse())
+                .map_err(|e| wrong(format!("connections.reuse: {e}")))?,
             ..usual
         };
         let settings = Settings::from_json(file.settings.to_string().as_bytes()).map_err(wrong)?;
--- a/crates/millethook/src/config/builder.rs
+++ b/crates/millethook/src/config/builder.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use millethook_connect::Begins;
+use millethook_connect::pool::Reuse;
 use serde_json::{Value, json};
 
 use super::{ClassConfig, FleetConfig};
@@ -183,6 +184,13 @@
         self
     }
 
+    /// For how many requests a connection is used ([`Reuse::Unlimited`] if not set). [`Reuse::Proven`] costs a handshake
+    /// for two requests, and no caller gets an answer that was made for another one.
+    pub fn reuse(mut self, reuse: Reuse) -> FleetBuilder {
+        self.connections["reuse"] = reuse.to_string().into();
+        self
+    }
+
     /// How long servers keep a connection at rest (10 s if not set).
     pub fn server_idle(mut self, idle: Duration) -> FleetBuilder {
         self.settings["limits"]["connIdle"] = (idle.as_micros() as u64).into();
--- a/crates/millethook/src/config/file.rs
+++ b/crates/millethook/src/config/file.rs
@@ -30,6 +30,7 @@
     pub(super) per_server: Option<usize>,
     pub(super) opening: Option<usize>,
     pub(super) spare: Option<usize>,
+    pub(super) reuse: Option<String>,
 }
 
 #[derive(Deserialize, Default)]
--- a/crates/millethook/src/lib.rs
+++ b/crates/millethook/src/lib.rs
@@ -55,6 +55,7 @@
 pub use member::{Closed, Member};
 pub use millethook_connect::Begins;
 pub use millethook_connect::pool::Ended as ConnectionsEnded;
+pub use millethook_connect::pool::Reuse;
 pub use request::RequestMeta;
 pub use route::{Route, RouteLayer};
 pub use usage::{Drained, PeerView, Usage};
