--- a/crates/millethook-connect/src/facts.rs
+++ b/crates/millethook-connect/src/facts.rs
@@ -121,6 +121,12 @@
         !self.proven || is_recent(self.strayed, now)
     }
 
+    /// Whether the server has lately sent bytes that belong to no answer, so that an answer on a used connection has to
+    /// be proven its request's own.
+    pub fn answers_need_proof(&self, now: Instant) -> bool {
+        is_recent(self.stray.map(|(_, seen)| seen), now)
+    }
+
     /// Whether the server announces the end of a connection where a request asks for it.
     pub fn announces_end(&self) -> bool {
         self.announces_end
--- a/crates/millethook-connect/src/mutant.rs
+++ b/crates/millethook-connect/src/mutant.rs
@@ -39,6 +39,8 @@
     SpareBesideResting,
     /// An idle limit is learned from a server that closes each connection at once.
     LimitOfEndingServer,
+    /// A connection that has carried an answer is used again though its server sent stray bytes lately.
+    ReusedUnproven,
     /// An unsafe request on a connection in doubt is not tried.
     NoTrial,
 }
--- a/crates/millethook-connect/src/pool.rs
+++ b/crates/millethook-connect/src/pool.rs
@@ -63,6 +63,12 @@
         let retire = server.facts.retire_after(self.limits.idle, now);
         let mut at = server.resting.len();
         while at > 0 {
+            if !server.may_reuse(self.limits.reuse, now) {
+                self.resting -= server.resting.len();
+                self.ended.given_up += server.resting.len() as u64;
+                server.resting.clear();
+                break;
+            }
             at -= 1;
             let Some(found) = server.resting.get(at) else { break };
             if found.quarantined_until > now && !mutant::is(Mutant::NoQuarantine) {
@@ -142,7 +148,7 @@
     pub fn release(&mut self, key: K, connection: C, now: Instant) {
         let Some(server) = self.servers.get_mut(&key) else { return };
         server.in_use = server.in_use.saturating_sub(1);
-        let kept = !server.gone && server.may_reuse(self.limits.reuse);
+        let kept = !server.gone && server.may_reuse(self.limits.reuse, now);
         if kept || mutant::is(Mutant::ReleasedToGone) {
             let quarantined_until = now + server.facts.quarantine(now);
             server.resting.push_back(IdleConnection { connection, since: now, quarantined_until });
@@ -216,6 +222,13 @@
         self.servers.get(&key).is_none_or(|server| server.facts.answers_in_doubt(now))
     }
 
+    /// Whether an answer on a used connection has to be proven its request's own: always, or as the server has sent stray
+    /// bytes lately.
+    pub fn answers_need_proof(&self, key: K, now: Instant) -> bool {
+        let server = self.servers.get(&key);
+        server.is_some_and(|server| server.answers_need_proof(self.limits.reuse, now))
+    }
+
     /// Whether the server announces the end of a connection where a request asks for it, as its last answer to such a
     /// request showed.
     pub fn announces_end(&self, key: K) -> bool {
@@ -223,15 +236,10 @@
     }
 
     /// A request that asked for its connection's end was answered; `announced`: the answer's head says that it ends.
-    ///
-    /// Without it nothing that has carried an answer is used again where answers have to be proven.
     pub fn end_was_asked(&mut self, key: K, announced: bool) {
         if let Some(server) = self.servers.get_mut(&key) {
             server.facts.end_was_asked(announced);
         }
-        if !announced {
-            self.close_idle(key, false);
-        }
     }
 
     /// Looks at every connection at rest and drops those that are of no more use. Returns how many.
--- a/crates/millethook-connect/src/pool/limits.rs
+++ b/crates/millethook-connect/src/pool/limits.rs
@@ -10,7 +10,8 @@
 /// may send the second copy once the next request on the connection has begun, and it looks like that one's answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Reuse {
-    /// For any number. An answer that comes late enough is taken for that of the request under way.
+    /// For any number, and for two where the server has sent bytes in the last minute that belong to no answer. The first
+    /// such answer of a server that turns bad is taken for that of the request under way.
     #[default]
     Unlimited,
     /// For two. The second request asks for the connection's end, and its answer has to announce it. No earlier answer
--- a/crates/millethook-connect/src/pool/server.rs
+++ b/crates/millethook-connect/src/pool/server.rs
@@ -5,6 +5,7 @@
 
 use super::Reuse;
 use crate::facts::Facts;
+use crate::mutant::{self, Mutant};
 
 #[derive(Debug)]
 pub(super) struct IdleConnection<C> {
@@ -50,8 +51,15 @@
     }
 
     /// Whether a connection that has carried an answer may carry a request.
-    pub(super) fn may_reuse(&self, reuse: Reuse) -> bool {
-        reuse == Reuse::Unlimited || self.facts.announces_end()
+    pub(super) fn may_reuse(&self, reuse: Reuse, now: Instant) -> bool {
+        !self.answers_need_proof(reuse, now)
+            || self.facts.announces_end()
+            || mutant::is(Mutant::ReusedUnproven)
+    }
+
+    /// Whether an answer on a used connection has to be proven its request's own.
+    pub(super) fn answers_need_proof(&self, reuse: Reuse, now: Instant) -> bool {
+        reuse == Reuse::Proven || self.facts.answers_need_proof(now)
     }
 
     pub(super) fn use_one(&mut self) {
--- a/crates/millethook-connect/tests/pool.rs
+++ b/crates/millethook-connect/tests/pool.rs
@@ -48,14 +48,36 @@
     }
     assert_eq!(pool.counts().resting, 2, "kept from now on");
     pool.end_was_asked(0, false);
+    assert_eq!(pool.checkout(0, now + 10 * MS, quiet), Checkout::Open);
     assert_eq!(pool.counts().resting, 0, "no more");
     assert_eq!(pool.check(now), Ok(()));
 }
 
+/// Guards against the copies of a server that was seen to send what belongs to no answer.
+#[test]
+fn a_server_with_stray_bytes_has_no_connection_used_again_for_a_minute() {
+    const MINUTE: Duration = Duration::from_secs(60);
+    let (mut pool, now) = (Pool::new(limits()), Instant::now() + 1000 * MS);
+    rested(&mut pool, 1, now);
+    rested(&mut pool, 2, now);
+    let stray = |n: &u32| if *n == 2 { Look::Stray } else { Look::Quiet };
+    assert_eq!(pool.checkout(0, now + 10 * MS, stray), Checkout::Open, "nor the other one");
+    assert!(pool.answers_need_proof(0, now + 10 * MS));
+    pool.opened(0, Some(MS));
+    pool.release(0, 3, now + 20 * MS);
+    assert_eq!(pool.counts(), Counts::default());
+    let later = now + 10 * MS + MINUTE;
+    assert!(!pool.answers_need_proof(0, later));
+    rested(&mut pool, 4, later + 50 * MS);
+    assert_eq!(pool.checkout(0, later + 90 * MS, quiet), Checkout::Reuse(4, 40 * MS));
+}
+
 #[test]
 fn a_server_with_late_stray_bytes_has_its_connections_settle_for_longer() {
     let (mut pool, now) = (Pool::new(limits()), Instant::now() + 1000 * MS);
     rested(&mut pool, 1, now);
+    // Its answers can be proven, so that its connections are used again all the same.
+    pool.end_was_asked(0, true);
     assert_eq!(pool.watch(now + 3 * MS, |_| Look::Stray), 1);
     rested(&mut pool, 2, now + 100 * MS);
     let at = now + 100 * MS;
@@ -91,6 +113,8 @@
     for n in 1..=3 {
         pool.release(0, n, now);
     }
+    // Its answers can be proven, so that stray bytes on one connection do not end the others' use.
+    pool.end_was_asked(0, true);
     let look = |n: &u32| match n {
         3 => Look::Closed,
         2 => Look::Stray,
--- a/crates/millethook-engine/src/upstream/attempt/mod.rs
+++ b/crates/millethook-engine/src/upstream/attempt/mod.rs
@@ -14,7 +14,6 @@
 use http::{HeaderMap, StatusCode};
 use millethook_connect::exchange::turns_away;
 use millethook_connect::facts::Caught;
-use millethook_connect::pool::Reuse;
 use millethook_connect::request::Persistence;
 use millethook_connect::{Begins, Event, Exchange, Execution, ResponseHead};
 use tokio::task::spawn_local;
@@ -195,11 +194,12 @@
         }
     }
 
-    /// What a request on a connection to `server` says of that connection. Where answers are proven, all but the first
-    /// request on a connection ask for its end, and so does each one to a server that is not known to announce it.
+    /// What a request on a connection to `server` says of that connection. Where answers have to be proven, all but the
+    /// first request on a connection ask for its end, and so does each one to a server that is not known to announce it.
     fn persistence(&self, server: ServerId, used: bool) -> Persistence {
-        let proven = self.config.limits.reuse == Reuse::Proven;
-        if proven && (used || !self.pool.borrow().announces_end(server)) {
+        let pool = self.pool.borrow();
+        let proven = pool.answers_need_proof(server, Instant::now());
+        if proven && (used || !pool.announces_end(server)) {
             Persistence::Close
         } else {
             Persistence::KeepAlive
