--- a/crates/millethook-edge/src/book.rs
+++ b/crates/millethook-edge/src/book.rs
@@ -16,6 +16,8 @@
 /// How many writes are what.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
+    /// Taken in, and not acknowledged.
+    pub taken: usize,
     /// Kept, and not known to have gone out.
     pub kept: usize,
     /// Out, or to be repeated.
@@ -50,14 +52,27 @@
     pub(crate) counts: Counts,
     /// Writes that ended otherwise than well.
     failed: BTreeSet<u64>,
+    /// The present start of the host, if it is known.
+    boot: Option<u64>,
+    /// Whether writes count only once they are acknowledged.
+    acknowledged: bool,
+    /// Whether its process ran before the host's present start.
+    earlier: bool,
+    /// Writes that are not acknowledged yet.
+    pub(crate) taken: BTreeSet<u64>,
 }
 
 /// Records ahead of their write that are held, at most: one whose write is spoilt never gets one.
 const MOST_EARLY: usize = 65_536;
 
 impl Book {
-    /// An empty one.
+    /// An empty one, of a store of which no writer lives on this start of the host.
     pub fn new(edge: EdgeId) -> Book {
+        Book::on(edge, None)
+    }
+
+    /// An empty one, on this start of the host.
+    pub fn on(edge: EdgeId, boot: Option<u64>) -> Book {
         Book {
             edge,
             classes: Vec::new(),
@@ -68,6 +83,10 @@
             damaged: Vec::new(),
             counts: Counts::default(),
             failed: BTreeSet::new(),
+            boot,
+            acknowledged: false,
+            earlier: false,
+            taken: BTreeSet::new(),
         }
     }
 
@@ -87,6 +106,7 @@
         counts.damaged = self.damaged.len();
         for seq in &self.open {
             match self.entries[seq].state {
+                State::Taken => counts.taken += 1,
                 State::Kept => counts.kept += 1,
                 State::Out(_) | State::Again => counts.out += 1,
                 State::Doubt => counts.doubt += 1,
@@ -134,14 +154,76 @@
     pub fn take(&mut self, item: &Item, marks: bool) {
         match item {
             Item::Record { seq, at, length, record } => self.apply(*seq, (*at, *length), record),
-            Item::Damaged { at, length, seq } => self.damaged.push((*at, *length, *seq, marks)),
+            Item::Damaged { at, length, seq } => {
+                self.damaged.push((*at, *length, *seq, marks));
+                if !marks {
+                    self.doubt_taken(*seq);
+                }
+            }
             // It was never on disk as a whole, so nothing was made to hang on it.
             Item::Torn { .. } => {}
         }
     }
 
+    /// A spoilt record of the intake may have acknowledged this write, or any. Only somebody who knows can say.
+    pub(crate) fn doubt_taken(&mut self, about: Option<u64>) {
+        // What a loss of power has cut short is spoilt as a rule.
+        let state = if self.earlier { State::Kept } else { State::Doubt };
+        let spoilt = |seq: &u64| about.is_none_or(|about| about == *seq);
+        let doubtful: Vec<u64> = self.taken.iter().copied().filter(spoilt).collect();
+        for seq in doubtful {
+            self.taken.remove(&seq);
+            if let Some(entry) = self.entries.get_mut(&seq) {
+                entry.state = state;
+            }
+        }
+    }
+
+    /// All of its intake has been read. With an earlier start of the host acknowledgements are lost that were not synced:
+    /// what comes behind the last one is kept, whatever its client was told.
+    pub fn is_read(&mut self) {
+        if !self.earlier {
+            return;
+        }
+        for seq in std::mem::take(&mut self.taken) {
+            if let Some(entry) = self.entries.get_mut(&seq) {
+                entry.state = State::Kept;
+            }
+        }
+    }
+
+    /// Ends what was taken in before this write and is not acknowledged.
+    fn withdraw_before(&mut self, seq: u64) {
+        let later = self.taken.split_off(&seq);
+        for seq in std::mem::replace(&mut self.taken, later) {
+            let Some(entry) = self.entries.get_mut(&seq) else { continue };
+            entry.state = State::Ended(End::Withdrawn);
+            self.open.remove(&seq);
+            self.counts.aside += 1;
+        }
+    }
+
+    /// A process acknowledges in the order in which it has taken in.
+    fn acknowledge(&mut self, seq: u64) {
+        self.withdraw_before(seq);
+        if self.taken.remove(&seq)
+            && let Some(entry) = self.entries.get_mut(&seq)
+        {
+            entry.state = State::Kept;
+        }
+    }
+
     /// Takes in a record.
     pub fn apply(&mut self, seq: u64, at: (u64, u32), record: &Record) {
+        match record {
+            Record::Opened { boot } => {
+                self.acknowledged = !mutant::is(Mutant::Unacknowledged);
+                self.earlier = self.boot != Some(*boot);
+                return;
+            }
+            Record::Acknowledged => return self.acknowledge(seq),
+            _ => {}
+        }
         if let Record::Write(write) = record {
             if self.entries.contains_key(&seq) {
                 return;
@@ -154,7 +236,10 @@
                 after.push(WriteId { edge: self.edge, seq: last });
             }
             let (kept_ms, repeat) = (write.at_ms, write.repeat);
-            let state = State::Kept;
+            let state = if self.acknowledged { State::Taken } else { State::Kept };
+            if self.acknowledged {
+                self.taken.insert(seq);
+            }
             self.entries.insert(
                 seq,
                 Entry {
@@ -187,8 +272,10 @@
         if let State::Ended(_) = entry.state {
             return;
         }
+        // An owner went by it: for that one it was kept, as after a loss of power.
+        self.taken.remove(&seq);
         match record {
-            Record::Write(_) => {}
+            Record::Write(_) | Record::Opened { .. } | Record::Acknowledged => {}
             Record::Mark { by, at } => {
                 // The owner before this one was not heard of again. If only this mark's end counted, one that is
                 // known not to have run would look as if it had never gone out.
--- a/crates/millethook-edge/src/check.rs
+++ b/crates/millethook-edge/src/check.rs
@@ -50,6 +50,12 @@
                 seq.to_string()
             })?;
         }
+        for seq in &book.taken {
+            let state = book.entries.get(seq).map(|entry| entry.state);
+            rule(state == Some(State::Taken), "what is not acknowledged does not go out", &|| {
+                format!("{seq}: {state:?}")
+            })?;
+        }
         let (upto, _) = book.watermark();
         rule(
             book.open.first().is_none_or(|first| *first > upto),
@@ -57,7 +63,8 @@
             &|| format!("up to {upto}, open {:?}", book.open.first()),
         )?;
         let counts = book.counts();
-        let sum = counts.kept + counts.out + counts.doubt + counts.done + counts.aside;
+        let sum =
+            counts.taken + counts.kept + counts.out + counts.doubt + counts.done + counts.aside;
         rule(sum == book.entries.len(), "every write is counted once", &|| {
             format!("{counts:?} of {}", book.entries.len())
         })
--- a/crates/millethook-edge/src/entry.rs
+++ b/crates/millethook-edge/src/entry.rs
@@ -10,6 +10,8 @@
 /// How far a write has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
+    /// It is in the intake, and its client has no receipt yet: it may have been answered that the write failed.
+    Taken,
     /// It has never gone out.
     Kept,
     /// It is marked as out under this token, and nothing is known of its end.
--- a/crates/millethook-edge/src/mutant.rs
+++ b/crates/millethook-edge/src/mutant.rs
@@ -13,6 +13,8 @@
     AlwaysAgain,
     /// A keyed write is repeated beyond its window, too.
     NoWindow,
+    /// A write that is not acknowledged goes out.
+    Unacknowledged,
     /// A record whose sum is wrong counts as it stands.
     NoSum,
 }
--- a/crates/millethook-edge/src/record.rs
+++ b/crates/millethook-edge/src/record.rs
@@ -136,4 +136,11 @@
     },
     /// An operator says that it has not run, or that it may be sent again.
     Release,
+    /// The first record of an intake whose writes count only once they are acknowledged.
+    Opened {
+        /// The start of the host, as in [`HostTime::boot`].
+        boot: u64,
+    },
+    /// The write's client gets a receipt for its answer.
+    Acknowledged,
 }
--- a/crates/millethook-edge/src/replay.rs
+++ b/crates/millethook-edge/src/replay.rs
@@ -72,6 +72,8 @@
     held: BTreeSet<u64>,
     look_at: Micros,
     pace: Pace,
+    /// The store's process is gone.
+    gone: bool,
 }
 
 /// Between two looks at what waits for other stores.
@@ -95,6 +97,7 @@
             held: BTreeSet::new(),
             look_at: 0,
             pace: Pace::new(config.fleet_per_second, now),
+            gone: false,
         }
     }
 
@@ -133,6 +136,18 @@
         }
     }
 
+    /// A part of the intake that was read since is spoilt; the write that it was about, if its head tells.
+    pub fn spoilt(&mut self, about: Option<u64>) {
+        self.book.doubt_taken(about);
+    }
+
+    /// The store's process is gone, and all that it wrote has been read.
+    /// What is not acknowledged by then never is: no client has a receipt for it.
+    pub fn process_is_gone(&mut self) {
+        self.gone = true;
+        self.ready.extend(&self.book.taken);
+    }
+
     /// What is to be done next, if anything. `here` is the host's time, `unix_ms` Unix time, `elsewhere` tells of other
     /// stores.
     pub fn next(
@@ -158,7 +173,10 @@
                 return Some(self.end(seq, End::Expired, unix_ms));
             }
             match entry.state {
-                State::Ended(_) | State::Out(_) | State::Doubt => continue,
+                State::Taken if self.gone && !self.writing.contains_key(&seq) => {
+                    return Some(self.end(seq, End::Withdrawn, unix_ms));
+                }
+                State::Taken | State::Ended(_) | State::Out(_) | State::Doubt => continue,
                 State::Again if !self.within(entry, here) => {
                     if let Some(entry) = self.book.entries.get_mut(&seq) {
                         entry.state = State::Doubt;
--- a/crates/millethook-http/src/edge/folder.rs
+++ b/crates/millethook-http/src/edge/folder.rs
@@ -140,7 +140,7 @@
 /// # Errors
 /// Names the file that cannot be read.
 pub fn load_settled(folder: &Path, edge: EdgeId, settled: u64) -> io::Result<(Book, Places)> {
-    let (mut book, mut places) = (Book::new(edge), Places::new());
+    let (mut book, mut places) = (Book::on(edge, Some(super::boot())), Places::new());
     for name in files(folder, edge)? {
         let path = name.path(folder, edge);
         let bytes = read(&path, 0, name.upto(settled))
@@ -152,6 +152,7 @@
         }
         places.insert(name, read);
     }
+    book.is_read();
     Ok((book, places))
 }
 
--- a/crates/millethook-http/src/edge/intake.rs
+++ b/crates/millethook-http/src/edge/intake.rs
@@ -52,8 +52,7 @@
     OnDisk(Receipt),
     /// It is not kept; coming back after this time is harmless.
     Refused(Duration),
-    /// The disk has not said so in time, or failed in the middle. It is withdrawn: it may get to disk, and is not sent
-    /// by this process.
+    /// The disk has not said so in time, or failed in the middle. It is withdrawn: it may get to disk, and is not sent.
     Unknown,
 }
 
@@ -210,15 +209,11 @@
             }
             Pending { edge: self, seq, member, before, kept: false }
         };
-        let in_time = timeout(left.saturating_sub(MARGIN), &mut written).await;
+        let in_time = timeout(left.saturating_sub(MARGIN), written.written()).await;
         let written = match in_time {
-            Ok(Ok(written)) => written,
-            Ok(Err(_)) => Written::Unknown,
-            Err(_) => {
-                // From here on the disk cannot say any more that it is kept, so that it is withdrawn.
-                written.close();
-                written.try_recv().unwrap_or(Written::Unknown)
-            }
+            Ok(written) => written,
+            // From here on it is acknowledged no more, or it is already.
+            Err(_) => written.give_up().await.unwrap_or(Written::Unknown),
         };
         match written {
             Written::OnDisk => {
@@ -230,8 +225,8 @@
                 intake.bytes = intake.bytes.saturating_sub(length);
                 Kept::Refused(COME_BACK)
             }
-            // A process that dies before the disk has taken its end leaves it to others, who send it: to call it
-            // refused would have it twice.
+            // Power that is lost before the disk has taken its end leaves it to others, who send it: to call it refused
+            // would have it twice.
             Written::Unknown => Kept::Unknown,
         }
     }
--- a/crates/millethook-http/src/edge/mod.rs
+++ b/crates/millethook-http/src/edge/mod.rs
@@ -7,6 +7,7 @@
 mod lock;
 mod replayer;
 mod send;
+mod writer;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
--- a/crates/millethook-http/src/edge/replayer.rs
+++ b/crates/millethook-http/src/edge/replayer.rs
@@ -166,10 +166,15 @@
         }
         let (path, settled) = (self.settings.folder.clone(), self.settled(edge));
         let loaded = spawn_blocking(move || -> io::Result<_> {
+            let intake = Name::Intake.path(&path, edge);
+            let gone = super::lock::is_free(&intake);
             let highest = folder::highest(&path, edge)?;
-            Ok((highest, folder::load_settled(&path, edge, settled)?))
+            let loaded = folder::load_settled(&path, edge, settled)?;
+            // Danger: what a process acknowledges as it ends is read only if it was gone before. One that has just made
+            // its intake does not hold it yet, and has written nothing where it does not by now.
+            Ok((highest, loaded, gone && super::lock::is_free(&intake)))
         });
-        let (highest, (book, places)) = match loaded.await {
+        let (highest, (book, places), gone) = match loaded.await {
             Ok(Ok(loaded)) => loaded,
             Ok(Err(e)) => {
                 tracing::error!(event = "edge_disk", "store {edge}: {e}");
@@ -202,7 +207,11 @@
             margin_ms: self.driver.longest_deadline().as_millis() as u64 + 500,
         };
         let left = book.left();
-        let replay = RefCell::new(Replay::new(config, token, book, self.now()));
+        let mut replay = Replay::new(config, token, book, self.now());
+        if gone {
+            replay.process_is_gone();
+        }
+        let replay = RefCell::new(replay);
         let store = Store {
             edge,
             token,
@@ -243,6 +252,8 @@
         let (path, edge, mine) = (self.settings.folder.clone(), store.edge, store.token);
         let mut places = store.places.borrow().clone();
         let read = spawn_blocking(move || -> io::Result<_> {
+            let intake = Name::Intake.path(&path, edge);
+            let gone = super::lock::is_free(&intake);
             let mut items = Vec::new();
             for name in folder::files(&path, edge)? {
                 if name == Name::Journal(mine) {
@@ -254,19 +265,27 @@
                 for item in log::scan(&bytes, 0) {
                     let Some(end) = folder::end_of(&item) else { continue };
                     *from = base + end;
-                    items.push((base, item));
+                    items.push((name, base, item));
                 }
             }
-            Ok((places, items))
+            // As where it is taken over.
+            Ok((places, items, gone && super::lock::is_free(&intake)))
         });
-        let Ok(Ok((places, items))) = read.await else { return };
+        let Ok(Ok((places, items, gone))) = read.await else { return };
         store.places.replace(places);
         let mut replay = store.replay.borrow_mut();
-        for (base, item) in items {
-            if let log::Item::Record { seq, at, length, record } = item {
-                replay.read(seq, (base + at, length), &record);
+        for (name, base, item) in items {
+            match item {
+                log::Item::Record { seq, at, length, record } => {
+                    replay.read(seq, (base + at, length), &record);
+                }
+                log::Item::Damaged { seq, .. } if name == Name::Intake => replay.spoilt(seq),
+                log::Item::Damaged { .. } | log::Item::Torn { .. } => {}
             }
         }
+        if gone {
+            replay.process_is_gone();
+        }
     }
 
     /// Carries out what the replay wants next.
@@ -293,7 +312,7 @@
                     let fits = log::append(&mut bytes, seq, &record).is_ok();
                     let name = Name::Journal(store.token);
                     let written = match self.disk.append(store.edge, name, bytes).filter(|_| fits) {
-                        Some(written) => written.await.unwrap_or(Written::Unknown),
+                        Some(mut written) => written.written().await,
                         None => Written::No,
                     };
                     if written == Written::Fenced {
--- a/crates/plankvale/src/edge.rs
+++ b/crates/plankvale/src/edge.rs
@@ -84,6 +84,7 @@
 
 fn state(state: State) -> String {
     match state {
+        State::Taken => "not acknowledged".into(),
         State::Kept => "kept".into(),
         State::Out(token) => format!("out, under {token}"),
         State::Again => "to be repeated".into(),
@@ -95,8 +96,15 @@
 fn show(_: &Path, book: &Book, lines: &mut Vec<String>) -> io::Result<()> {
     let counts = book.counts();
     lines.push(format!(
-        "store {}: {} kept, {} out, {} in doubt, {} done, {} set apart, {} spoilt",
-        book.edge, counts.kept, counts.out, counts.doubt, counts.done, counts.aside, counts.damaged
+        "store {}: {} kept, {} out, {} in doubt, {} done, {} set apart, {} spoilt, {} not acknowledged",
+        book.edge,
+        counts.kept,
+        counts.out,
+        counts.doubt,
+        counts.done,
+        counts.aside,
+        counts.damaged,
+        counts.taken
     ));
     for (at, length, seq, _) in &book.damaged {
         let seq = seq.map_or("of no known write".to_owned(), |seq| format!("of write {seq:x}"));
--- a/crates/plankvale/tests/sidecar/main.rs
+++ b/crates/plankvale/tests/sidecar/main.rs
@@ -4,6 +4,7 @@
 mod clients;
 mod early;
 mod edge;
+mod edge_death;
 mod fleet;
 mod framing;
 mod large;
