--- a/crates/millethook-lab/src/lib.rs
+++ b/crates/millethook-lab/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod plan;
 pub mod report;
 pub mod scale;
+pub mod single_run;
 pub mod timeline;
 pub mod world;
--- /dev/null
+++ b/crates/millethook-lab/src/single_run.rs
@@ -0,0 +1,264 @@
+//! One run of a timeline: played on real processes, judged, printed, and written down where that was asked for.
+
+use std::io::IsTerminal;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use indicatif::{ProgressBar, ProgressDrawTarget};
+
+use crate::figures::lists::ListFigures;
+use crate::figures::{Figures, figures, missed};
+use crate::ledger::judge::{Breach, judge};
+use crate::plan::Plan;
+use crate::report;
+use crate::timeline::Timeline;
+use crate::world::{Options, Outcome, play};
+
+/// How a command ended; the number is its exit code.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// All rules and expectations hold.
+    Holds = 0,
+    /// One does not.
+    Broken = 1,
+    /// The file or the command is wrong.
+    Wrong = 2,
+    /// The run does not count.
+    DoesNotCount = 3,
+}
+
+impl From<Verdict> for ExitCode {
+    fn from(verdict: Verdict) -> ExitCode {
+        ExitCode::from(verdict as u8)
+    }
+}
+
+/// Which daemon is played.
+#[derive(clap::Args, Debug)]
+pub struct DaemonArgs {
+    /// The daemon's program; without it the plankvale beside this program
+    #[arg(long)]
+    daemon: Option<PathBuf>,
+    /// An argument for it; may be given several times
+    #[arg(long = "daemon-arg", allow_hyphen_values = true)]
+    daemon_args: Vec<String>,
+}
+
+impl DaemonArgs {
+    /// The daemon's program; what is missing is told.
+    fn program(&self) -> Option<PathBuf> {
+        let Some(program) = self.daemon.clone().or_else(beside) else {
+            eprintln!(
+                "no plankvale beside this program: build it (cargo build -p plankvale), or name it by --daemon"
+            );
+            return None;
+        };
+        if !program.is_file() {
+            eprintln!("--daemon: {}: a program expected", program.display());
+            return None;
+        }
+        Some(program)
+    }
+}
+
+/// A run that is to be made.
+#[derive(Debug)]
+pub struct SingleRun<'r> {
+    /// The timeline's name in the figures.
+    pub name: &'r str,
+    /// What arrivals and faults are drawn by.
+    pub seed: u64,
+    /// Where the run is written down; None: only the verdict is printed.
+    pub out: Option<&'r Path>,
+    /// Which daemon is played.
+    pub daemon: &'r DaemonArgs,
+}
+
+/// What a run came to.
+#[derive(Debug)]
+pub struct RunResult {
+    /// How it ended.
+    pub verdict: Verdict,
+    /// Its figures; None: it did not come to its end.
+    pub figures: Option<Figures>,
+}
+
+impl RunResult {
+    fn without_figures(verdict: Verdict) -> RunResult {
+        RunResult { verdict, figures: None }
+    }
+}
+
+impl SingleRun<'_> {
+    /// Plays the timeline, judges it and prints the verdict. Has to be called on the main thread, as the daemons
+    /// end with the thread that starts them.
+    pub fn carry_out(&self, timeline: Timeline) -> RunResult {
+        let Some(program) = self.daemon.program() else {
+            return RunResult::without_figures(Verdict::Wrong);
+        };
+        let temporary = std::env::temp_dir().join(format!("millethook-lab-{}", std::process::id()));
+        let folder = self.out.unwrap_or(&temporary);
+        let args = self.daemon.daemon_args.clone();
+        let options = Options { program, args, folder: folder.join("logs") };
+        let plan = Arc::new(Plan::new(&timeline, self.seed));
+        let timeline = Arc::new(timeline);
+        let played = run_to_end(&timeline, &plan, &options);
+        let result = match played {
+            Ok(outcome) => self.judge(&timeline, &plan, &outcome),
+            Err(e) => {
+                eprintln!("the run does not count: {e}");
+                RunResult::without_figures(Verdict::DoesNotCount)
+            }
+        };
+        if self.out.is_none() {
+            // Nobody asked for it; what cannot be removed is the system's to clean up.
+            let _ = std::fs::remove_dir_all(&temporary);
+        }
+        result
+    }
+
+    fn judge(&self, timeline: &Timeline, plan: &Plan, outcome: &Outcome) -> RunResult {
+        let breaches = judge(&outcome.book, &timeline.classes, &timeline.rules);
+        let mut figures = figures(self.name, timeline, plan, outcome);
+        figures.faults.extend(outcome.book.findings.iter().cloned());
+        figures.faults.extend(breaches.iter().map(|b| match b.request {
+            Some(id) => format!("{}: request {}: {}", b.rule, id.wire(), b.text),
+            None => format!("{}: {}", b.rule, b.text),
+        }));
+        // What ended before its time has no figures that could be expected.
+        if outcome.book.findings.is_empty() {
+            figures.faults.extend(missed(timeline, &figures));
+        }
+        if figures.late_p99_ms > timeline.run.late_p99_ms {
+            figures.void = Some(format!(
+                "the run does not count: the host was too slow, 1 arrival in 100 was over {:.1} ms late, \
+                 late_p99_ms allows {}",
+                figures.late_p99_ms, timeline.run.late_p99_ms
+            ));
+        }
+        print(&figures, &breaches);
+        if let Some(folder) = self.out
+            && let Err(e) = report::write(folder, &figures, outcome, &breaches)
+        {
+            eprintln!("--out: {}: {e}", folder.display());
+            return RunResult::without_figures(Verdict::Wrong);
+        }
+        let verdict = match (&figures.void, figures.faults.is_empty()) {
+            (Some(_), _) => Verdict::DoesNotCount,
+            (None, true) => Verdict::Holds,
+            (None, false) => Verdict::Broken,
+        };
+        RunResult { verdict, figures: Some(figures) }
+    }
+}
+
+/// Plays on a runtime whose main task stays on this thread.
+fn run_to_end(
+    timeline: &Arc<Timeline>,
+    plan: &Arc<Plan>,
+    options: &Options,
+) -> Result<Outcome, String> {
+    let target = match std::io::stderr().is_terminal() {
+        true => ProgressDrawTarget::stderr(),
+        false => ProgressDrawTarget::hidden(),
+    };
+    let progress = ProgressBar::with_draw_target(None, target);
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
+    let outcome = runtime.block_on(async {
+        let played = play(timeline.clone(), plan.clone(), options, &progress);
+        tokio::select! {
+            played = played => played.map_err(|e| e.to_string()),
+            _ = tokio::signal::ctrl_c() => Err("interrupted".into()),
+        }
+    });
+    progress.finish_and_clear();
+    // Daemons end with their handles.
+    runtime.shutdown_timeout(Duration::from_secs(1));
+    outcome
+}
+
+/// The daemon that was built with this program.
+fn beside() -> Option<PathBuf> {
+    let mut path = std::env::current_exe().ok()?;
+    path.set_file_name("plankvale");
+    path.is_file().then_some(path)
+}
+
+/// What became of calls of discovery.
+fn lists(of: &ListFigures) -> String {
+    let all = of.all_s.map_or("not all have a list".into(), |s| {
+        format!("all have a list {s:.2} s after its end ({:.2} of calls x work)", s / of.bound_s)
+    });
+    let ListFigures { calls, refused, hung_up, .. } = of;
+    format!(", {all}; {calls} calls, {refused} refused, {hung_up} hung up")
+}
+
+/// Broken rules that are printed in full.
+const SHOWN: usize = 5;
+
+fn print(f: &Figures, breaches: &[Breach]) {
+    println!(
+        "{} seed {}: {} sidecars, {} servers: served {:.3}, attempts {:.2} ({} unanswered), kept {} ({} not done, replayed after {:.1} s), handshakes {:.3}, imbalance {:.2}, \
+         cold servers {:.2} of what they bear, arrivals late p99 {:.1} ms",
+        f.timeline,
+        f.seed,
+        f.sidecars,
+        f.servers,
+        f.served,
+        f.attempts,
+        f.unanswered,
+        f.kept,
+        f.kept_open,
+        f.replayed_s,
+        f.handshakes,
+        f.imbalance,
+        f.cold_peak,
+        f.late_p99_ms
+    );
+    for event in &f.events {
+        let back = event.back_s.map_or("not back".into(), |b| format!("back after {b:.2} s"));
+        println!(
+            "  {} at {:.1} s: {:.3} before, {:.3} at worst, {back}{}{}",
+            event.name,
+            event.at_s,
+            event.before,
+            event.worst,
+            event
+                .view_agrees_s
+                .map_or(String::new(), |s| format!(", views agree {s:.2} s after its end")),
+            event.lists.as_ref().map_or(String::new(), lists)
+        );
+    }
+    if let Some(d) = &f.distribution {
+        println!(
+            "  documents: {} requested, {} published, {} committed, {} stopped, {} refusals; in force after {:.2} s \
+             (50), {:.2} s (99), {:.2} s (100 of 100), never {}; sidecars sent {:.0} bytes a second, at most {:.0}, \
+             control nodes at most {:.0}",
+            d.requested,
+            d.published,
+            d.committed,
+            d.stopped,
+            d.refused,
+            d.in_force_p50_s,
+            d.in_force_p99_s,
+            d.in_force_all_s,
+            d.never,
+            d.sidecar_bytes_per_s,
+            d.most_sidecar_bytes_per_s,
+            d.most_control_bytes_per_s
+        );
+    }
+    f.faults.iter().take(4 * SHOWN).for_each(|fault| println!("FAULT {fault}"));
+    for breach in breaches.iter().take(SHOWN) {
+        println!("{}: {}", breach.rule, breach.text);
+        breach.way.iter().for_each(|step| println!("    {step}"));
+    }
+    match &f.void {
+        Some(why) => println!("{why}"),
+        None if f.faults.is_empty() => println!("all rules and expectations hold"),
+        None => println!("{} faults", f.faults.len()),
+    }
+}
