--- a/crates/millethook-lab/src/cli.rs
+++ b/crates/millethook-lab/src/cli.rs
@@ -9,6 +9,7 @@
 use crate::compare::compare;
 use crate::report;
 use crate::single_run::{DaemonArgs, SingleRun, Verdict};
+use crate::soak::command::Soak;
 use crate::timeline::Timeline;
 use crate::world::daemon::guard;
 
@@ -36,6 +37,8 @@
     },
     /// Play a timeline on real processes
     Run(Run),
+    /// Play timelines that are drawn from seeds
+    Soak(Soak),
     /// Compare two folders of runs, paired by timeline, size and seed
     Compare {
         /// Runs of one build or configuration
@@ -86,6 +89,7 @@
     let verdict = match Cli::parse().command {
         Command::Check { files } => check(&files),
         Command::Run(run) => run.carry_out(),
+        Command::Soak(soak) => soak.carry_out(),
         Command::Compare { first, second } => compare_folders(&first, &second),
         Command::Report { folder } => {
             let written = report::read(&folder).and_then(|runs| report::page(&folder, &runs));
--- a/crates/millethook-lab/src/ledger/judge.rs
+++ b/crates/millethook-lab/src/ledger/judge.rs
@@ -48,6 +48,8 @@
     pub text: String,
     /// The request's way through every process, in order.
     pub way: Vec<String>,
+    /// What was done was right but for its time: a daemon that got no processor does that, too.
+    pub by_time: bool,
 }
 
 /// Shares of what a cold server was sent that have to come from sidecars told of its start.
@@ -135,6 +137,7 @@
         let time = request.sent + request.left + micros(self.rules.answer_slack_ms) + self.slack();
         let limit = self.extended(sidecar, request.sent, time);
         let killed = |to| self.ended_between(sidecar, request.sent, to);
+        let mut by_time = false;
         let text = match request.end {
             End::Open | End::Unreached | End::Closed => return,
             End::Foreign => "it was answered with what was not made for it".to_owned(),
@@ -143,7 +146,10 @@
                 format!("its connection ended without an answer at {}", seconds(request.ended))
             }
             End::Silent if request.ended <= limit => return,
-            End::Silent => format!("no answer by {}", seconds(request.ended)),
+            End::Silent => {
+                by_time = true;
+                format!("no answer by {}", seconds(request.ended))
+            }
             // What is kept goes out after its answer.
             End::Kept if request.ended <= limit => return,
             End::Served | End::Refused | End::Failed(_) | End::Kept => {
@@ -159,6 +165,7 @@
                 if request.ended <= limit {
                     return;
                 }
+                by_time = true;
                 format!(
                     "its answer came at {}, {} expected at the latest",
                     seconds(request.ended),
@@ -166,7 +173,7 @@
                 )
             }
         };
-        breaches.push(self.breach(Rule::Lost, id, text));
+        breaches.push(Breach { by_time, ..self.breach(Rule::Lost, id, text) });
     }
 
     /// The first effect of a write is after that of the one whose receipt it carried.
@@ -264,7 +271,8 @@
                     seconds(attempt.first_byte),
                     seconds(since)
                 );
-                breaches.push(self.breach(Rule::Drain, attempt.id, text));
+                let breach = self.breach(Rule::Drain, attempt.id, text);
+                breaches.push(Breach { by_time: true, ..breach });
             }
         }
     }
@@ -301,7 +309,7 @@
                 most.len()
             );
             let way = way.collect();
-            breaches.push(Breach { rule: Rule::Cold, request: None, text, way });
+            breaches.push(Breach { rule: Rule::Cold, request: None, text, way, by_time: true });
         }
     }
 
@@ -311,13 +319,16 @@
             let text = format!("{server} got {} twice at {}", found.header, seconds(found.at));
             breaches.push(match found.id {
                 Some(id) => self.breach(Rule::Header, id, text),
-                None => Breach { rule: Rule::Header, request: None, text, way: Vec::new() },
+                None => {
+                    let (rule, way) = (Rule::Header, Vec::new());
+                    Breach { rule, request: None, text, way, by_time: false }
+                }
             });
         }
     }
 
     fn breach(&self, rule: Rule, id: RequestId, text: String) -> Breach {
-        Breach { rule, request: Some(id), text, way: self.way(id) }
+        Breach { rule, request: Some(id), text, way: self.way(id), by_time: false }
     }
 
     /// All that is known of a request, by time.
--- a/crates/millethook-lab/src/lib.rs
+++ b/crates/millethook-lab/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod report;
 pub mod scale;
 pub mod single_run;
+pub mod soak;
 pub mod timeline;
 pub mod world;
--- a/crates/millethook-lab/src/report.rs
+++ b/crates/millethook-lab/src/report.rs
@@ -68,7 +68,8 @@
         &folder.join("processes.csv"),
         outcome.processes.iter().map(|p| {
             let name = p.sidecar.map_or("lab".to_owned(), |n| format!("n{n}"));
-            (p.at, name, p.usage.cpu_s, p.usage.memory_kib, p.usage.descriptors)
+            let u = p.usage;
+            (p.at, name, u.cpu_s, u.memory_kib, u.descriptors, u.waited_s)
         }),
     )?;
     let mut handshakes = vec![0u64; outcome.traffic.len()];
--- /dev/null
+++ b/crates/millethook-lab/src/soak/fleet.rs
@@ -0,0 +1,124 @@
+//! Draws the fleet of a timeline: its size, its load, and what its sidecars are told to do together.
+
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use super::hundredths;
+use crate::timeline::{Class, Effect, Group, Timeline};
+
+/// The rules as the tests of the lab that run beside others have them: what a busy machine adds, in milliseconds.
+/// Where a daemon waits longer than that for a processor, the run does not count.
+const SOCKET_SLACK_MS: f64 = 300.0;
+/// With arrivals later than this the run does not count, in milliseconds.
+const LATE_P99_MS: f64 = 400.0;
+/// The load of the mean server over what it can do, without bursts.
+const UTILIZATION: (f64, f64) = (0.2, 0.75);
+/// The least and the most requests a second of the mean sidecar.
+const PER_SIDECAR: (f64, f64) = (4.0, 25.0);
+/// Shares of timelines with a view of the fleet, with kept writes, and with a discovery that is asked.
+const VIEW_SHARE: f64 = 0.6;
+const EDGE_SHARE: f64 = 0.3;
+const ASKED_SHARE: f64 = 0.25;
+/// Shares of timelines in which discovery tells late, and in which the network between sidecars is bad.
+const LATE_SHARE: f64 = 0.4;
+const LOSSY_SHARE: f64 = 0.4;
+
+/// A timeline without events.
+pub(super) fn draw(random: &mut ChaCha8Rng) -> Timeline {
+    let mut timeline = Timeline::default();
+    timeline.run.late_p99_ms = LATE_P99_MS;
+    timeline.run.processor_wait_ms = SOCKET_SLACK_MS;
+    timeline.rules.socket_slack_ms = SOCKET_SLACK_MS;
+    timeline.sidecars.count = random.random_range(4..=12);
+    timeline.sidecars.zones = random.random_range(1..=3);
+    draw_servers(&mut timeline, random);
+    draw_discovery(&mut timeline, random);
+    timeline.classes = classes(random);
+    draw_sharing(&mut timeline, random);
+    draw_load(&mut timeline, random);
+    timeline
+}
+
+fn draw_servers(timeline: &mut Timeline, random: &mut ChaCha8Rng) {
+    let servers = &mut timeline.servers;
+    // Two in each zone at least: a keyed request stays in its zone.
+    servers.count = random.random_range(3..=6).max(2 * timeline.sidecars.zones);
+    servers.slots = random.random_range(2..=4);
+    servers.queue = random.random_range(4..=16);
+    servers.cold_s = f64::from(random.random_range(3..=10_u32));
+}
+
+fn draw_discovery(timeline: &mut Timeline, random: &mut ChaCha8Rng) {
+    if random.random_bool(LATE_SHARE) {
+        timeline.discovery.late_s = hundredths(random.random_range(0.05..=1.0));
+    }
+    if random.random_bool(ASKED_SHARE) {
+        timeline.discovery.asked = true;
+        timeline.discovery.work_s = 0.02;
+    }
+}
+
+/// A view of the fleet with shared evidence and leases, and kept writes.
+fn draw_sharing(timeline: &mut Timeline, random: &mut ChaCha8Rng) {
+    let keeps = random.random_bool(EDGE_SHARE);
+    if !keeps && !random.random_bool(VIEW_SHARE) {
+        return;
+    }
+    timeline.network.may_tell = true;
+    timeline.network.delay_ms = 1.0;
+    timeline.network.jitter_ms = 3.0;
+    if random.random_bool(LOSSY_SHARE) {
+        timeline.network.loss = hundredths(random.random_range(0.01..=0.2));
+    }
+    let sidecars = &mut timeline.sidecars;
+    sidecars.view_period_s = 1.0;
+    sidecars.share_evidence = random.random_bool(0.7);
+    sidecars.product = "[lease]\nlongest_s = 3\n".to_owned();
+    if sidecars.share_evidence {
+        sidecars.product += "dead_servers = true\n";
+    }
+    if keeps {
+        sidecars.edge_host = random.random_range(2..=4);
+        timeline.classes.push(kept_class(random));
+    }
+}
+
+fn classes(random: &mut ChaCha8Rng) -> Vec<Class> {
+    let group = if random.random_bool(0.5) { Group::All } else { Group::Zone };
+    let work_ms = f64::from(random.random_range(10..=40_u32));
+    let look = Class { share: 5.0, work_ms, ..Class::default() };
+    let keep = Class {
+        name: "keep".into(),
+        effect: Effect::Keyed,
+        group,
+        share: 2.0,
+        ..write_class(work_ms)
+    };
+    let order =
+        Class { name: "order".into(), effect: Effect::Unsafe, share: 2.0, ..write_class(work_ms) };
+    vec![look, keep, order]
+}
+
+fn write_class(work_ms: f64) -> Class {
+    Class { work_ms, aim_ms: 400.0, deadline_ms: 1_500.0, worth: 3.0, ..Class::default() }
+}
+
+fn kept_class(random: &mut ChaCha8Rng) -> Class {
+    Class {
+        name: "log-upload".into(),
+        effect: Effect::Unsafe,
+        receipts: true,
+        chain: random.random_range(0..=3),
+        ..write_class(20.0)
+    }
+}
+
+fn draw_load(timeline: &mut Timeline, random: &mut ChaCha8Rng) {
+    let (least, most) = UTILIZATION;
+    let utilization = random.random_range(least..=most);
+    let slots = timeline.servers.count * timeline.servers.slots;
+    let capacity_per_s = slots as f64 * 1e6 / timeline.mean_work();
+    let per_sidecar = utilization * capacity_per_s / timeline.sidecars.count as f64;
+    timeline.load.per_sidecar = per_sidecar.clamp(PER_SIDECAR.0, PER_SIDECAR.1).round();
+    timeline.load.retries = random.random_range(0..=2);
+}
--- /dev/null
+++ b/crates/millethook-lab/src/soak/mod.rs
@@ -0,0 +1,94 @@
+//! The soak: timelines drawn from a seed out of the events that a timeline may have, for finding what nobody wrote a
+//! timeline for. The same seed draws the same timeline. No clock and no I/O but in `command`.
+
+pub mod command;
+mod fleet;
+mod reservations;
+mod trouble;
+
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::plan::stream;
+use crate::timeline::{Event, Timeline};
+use reservations::Reservations;
+use trouble::Trouble;
+
+/// How long the events of a timeline may take, in seconds. With the warm-up, the start and the last answers a run
+/// takes 15 to 40 s.
+const SHORTEST_S: f64 = 13.0;
+const LONGEST_S: f64 = 34.0;
+/// No trouble begins in the last seconds: what comes of it has to show.
+const TAIL_S: f64 = 3.0;
+/// The first trouble comes at this time,
+const FIRST_S: f64 = 1.0;
+/// or, in this share of the timelines, only after this part of the duration.
+const QUIET_SHARE: f64 = 0.25;
+const QUIET_PART: f64 = 0.5;
+/// The most troubles of a timeline.
+const MOST_TROUBLES: usize = 7;
+/// This share of troubles comes right behind the one before, within `TOGETHER_S`.
+const TOGETHER_SHARE: f64 = 0.35;
+const TOGETHER_S: (f64, f64) = (0.01, 0.4);
+/// The others come after a longer time.
+const APART_S: (f64, f64) = (0.5, 6.0);
+
+/// A timeline as it is drawn.
+struct Draft {
+    random: ChaCha8Rng,
+    timeline: Timeline,
+    reservations: Reservations,
+}
+
+impl Draft {
+    /// A number between two bounds in hundredths, so that files are easy to read.
+    fn between(&mut self, least: f64, most: f64) -> f64 {
+        hundredths(self.random.random_range(least..=most))
+    }
+
+    /// Adds an event.
+    fn push(&mut self, event: Event) {
+        let at_s = hundredths(event.at_s);
+        self.timeline.events.push(Event { at_s, ..event });
+    }
+
+    /// How long something lasts that begins at a time: between two bounds, and not beyond the end of the load.
+    fn lasting(&mut self, at_s: f64, least: f64, most: f64) -> f64 {
+        let left_s = self.timeline.run.duration_s - at_s;
+        hundredths(self.between(least, most).min(left_s))
+    }
+}
+
+fn hundredths(number: f64) -> f64 {
+    (number * 100.0).round() / 100.0
+}
+
+/// Draws the timeline of a seed.
+pub fn draw(seed: u64) -> Timeline {
+    let mut random = stream(seed, "soak", 0);
+    let mut timeline = fleet::draw(&mut random);
+    timeline.run.duration_s = random.random_range(SHORTEST_S..=LONGEST_S).round();
+    let reservations = Reservations::new(&timeline);
+    let mut draft = Draft { random, timeline, reservations };
+    draw_troubles(&mut draft);
+    let Draft { mut timeline, .. } = draft;
+    timeline.events.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
+    timeline.run.about = format!("Soak, seed {seed}");
+    timeline
+}
+
+fn draw_troubles(draft: &mut Draft) {
+    let duration_s = draft.timeline.run.duration_s;
+    let quiet = draft.random.random_bool(QUIET_SHARE);
+    let mut at_s = if quiet { duration_s * QUIET_PART } else { FIRST_S };
+    for _ in 0..MOST_TROUBLES {
+        let trouble = Trouble::draw(&mut draft.random);
+        trouble.add(draft, hundredths(at_s));
+        let together = draft.random.random_bool(TOGETHER_SHARE);
+        let (least, most) = if together { TOGETHER_S } else { APART_S };
+        at_s += draft.between(least, most);
+        if at_s > duration_s - TAIL_S {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/millethook-lab/src/soak/trouble.rs
@@ -0,0 +1,317 @@
+//! The troubles that a timeline is drawn from: each adds one event or a few that belong together.
+
+use rand::Rng;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+
+use super::reservations::{Resource, Span};
+use super::{Draft, hundredths};
+use crate::timeline::{Event, EventKind, Select, Timeline};
+
+/// Between the start of a process and the next thing that is done to it, in seconds: it has to be ready by then.
+const START_S: f64 = 3.0;
+/// What a planned end takes at most, in seconds: the longest deadline and what the lab adds.
+const END_S: f64 = 2.5;
+/// A server that has left or come is let alone for so long, in seconds.
+const SERVER_S: f64 = 4.0;
+/// A moved discovery takes the place of the old one for so long, in seconds.
+const RELOAD_S: f64 = 2.0;
+/// Events of other targets follow one another by so much, in seconds.
+const GAP_S: f64 = 0.5;
+
+/// Something that goes wrong, or is done on purpose, in a fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Trouble {
+    /// Some sidecars are killed at once and come back.
+    Kills,
+    /// Sidecars are restarted as planned, one after another.
+    RollingRestart,
+    /// Sidecars are told of another discovery by SIGHUP.
+    Reloads,
+    /// Processes stand still, or are slow.
+    Pauses,
+    /// Servers leave after a drain, and cold ones come.
+    Drains,
+    /// Servers leave while sidecars are restarted.
+    DrainsAndRestarts,
+    /// Servers hang.
+    Hangs,
+    /// Servers hang while sidecars end, and go on hanging.
+    HangsThroughShutdown,
+    /// Servers fail, break off, turn away, refuse, or are slow.
+    FailingServers,
+    /// Servers end and come back cold.
+    Crashes,
+    /// Discovery says nothing for a long time, in which servers or sidecars change.
+    DiscoveryOutage,
+    /// Discovery tells an old list, forgets its watches, or counts anew.
+    DiscoveryWrong,
+    /// Streams from some sidecars to servers are cut or slow.
+    StreamCuts,
+    /// A zone is cut off.
+    ZoneCut,
+    /// Datagrams between sidecars are lost, doubled, late or out of order.
+    BadDatagrams,
+    /// Load rises for a time.
+    Burst,
+}
+
+const ALL: [Trouble; 16] = [
+    Trouble::Kills,
+    Trouble::RollingRestart,
+    Trouble::Reloads,
+    Trouble::Pauses,
+    Trouble::Drains,
+    Trouble::DrainsAndRestarts,
+    Trouble::Hangs,
+    Trouble::HangsThroughShutdown,
+    Trouble::FailingServers,
+    Trouble::Crashes,
+    Trouble::DiscoveryOutage,
+    Trouble::DiscoveryWrong,
+    Trouble::StreamCuts,
+    Trouble::ZoneCut,
+    Trouble::BadDatagrams,
+    Trouble::Burst,
+];
+
+impl Trouble {
+    /// Draws one.
+    pub(super) fn draw(random: &mut ChaCha8Rng) -> Trouble {
+        ALL[random.random_range(0..ALL.len())]
+    }
+
+    /// Adds its events. What it needs may be taken by an earlier one; then there are fewer events, or none.
+    pub(super) fn add(self, draft: &mut Draft, at_s: f64) {
+        match self {
+            Trouble::Kills => kills(draft, at_s),
+            Trouble::RollingRestart => restarts(draft, at_s),
+            Trouble::Reloads => reloads(draft, at_s),
+            Trouble::Pauses => pauses(draft, at_s),
+            Trouble::Drains => drains(draft, at_s),
+            Trouble::DrainsAndRestarts => {
+                drains(draft, at_s);
+                let at_s = at_s + draft.between(0.0, GAP_S);
+                restarts(draft, at_s);
+            }
+            Trouble::Hangs => hangs(draft, at_s),
+            Trouble::HangsThroughShutdown => {
+                hangs(draft, at_s);
+                let at_s = at_s + draft.between(0.05, GAP_S);
+                restarts(draft, at_s);
+            }
+            Trouble::FailingServers => failing_servers(draft, at_s),
+            Trouble::Crashes => crashes(draft, at_s),
+            Trouble::DiscoveryOutage => discovery_outage(draft, at_s),
+            Trouble::DiscoveryWrong => discovery_wrong(draft, at_s),
+            Trouble::StreamCuts => stream_cuts(draft, at_s),
+            Trouble::ZoneCut => zone_cut(draft, at_s),
+            Trouble::BadDatagrams => bad_datagrams(draft, at_s),
+            Trouble::Burst => burst(draft, at_s),
+        }
+    }
+}
+
+/// Takes a drawn number of targets for an event.
+fn some(draft: &mut Draft, resource: Resource, span: Span, most: usize) -> Option<Select> {
+    let wanted = draft.random.random_range(1..=most.max(1));
+    draft.reservations.take(&mut draft.random, resource, span, wanted)
+}
+
+/// Half of the servers at most, so that some are warm and well.
+fn half_of_servers(draft: &Draft) -> usize {
+    draft.timeline.servers.count / 2
+}
+
+fn kills(draft: &mut Draft, at_s: f64) {
+    let back_s = draft.between(0.0, 1.5);
+    let most = draft.timeline.sidecars.count;
+    let span = Span { at_s, length_s: back_s + START_S };
+    if let Some(who) = some(draft, Resource::Process, span, most) {
+        let back_after_s = Some(back_s);
+        draft.push(Event { at_s, kind: EventKind::Kill, who, back_after_s, ..Event::default() });
+    }
+}
+
+fn restarts(draft: &mut Draft, at_s: f64) {
+    let over_s = if draft.random.random_bool(0.5) { 0.0 } else { draft.between(0.5, 6.0) };
+    let back_s = draft.between(0.0, 0.5);
+    let most = draft.timeline.sidecars.count;
+    let span = Span { at_s, length_s: over_s + END_S + back_s + START_S };
+    if let Some(who) = some(draft, Resource::Process, span, most) {
+        let kind = EventKind::Terminate;
+        let back_after_s = Some(back_s);
+        draft.push(Event { at_s, kind, who, over_s, back_after_s, ..Event::default() });
+    }
+}
+
+fn reloads(draft: &mut Draft, at_s: f64) {
+    let over_s = draft.between(0.0, 2.0);
+    let most = draft.timeline.sidecars.count;
+    let span = Span { at_s, length_s: over_s + RELOAD_S };
+    if let Some(who) = some(draft, Resource::Process, span, most) {
+        draft.push(Event { at_s, kind: EventKind::Reload, who, over_s, ..Event::default() });
+    }
+}
+
+fn pauses(draft: &mut Draft, at_s: f64) {
+    let throttle = draft.random.random_bool(0.3);
+    let for_s = draft.lasting(at_s, 0.1, 3.0);
+    let most = draft.timeline.sidecars.count / 2;
+    let span = Span { at_s, length_s: for_s + GAP_S };
+    let Some(who) = some(draft, Resource::Process, span, most) else { return };
+    let (kind, amount) = match throttle {
+        true => (EventKind::Throttle, Some(draft.between(2.0, 8.0))),
+        false => (EventKind::Pause, None),
+    };
+    draft.push(Event { at_s, kind, who, for_s, amount, ..Event::default() });
+}
+
+fn drains(draft: &mut Draft, at_s: f64) {
+    let over_s = draft.between(0.0, 3.0);
+    let most = half_of_servers(draft);
+    let span = Span { at_s, length_s: over_s + SERVER_S };
+    if let Some(who) = some(draft, Resource::ServerLife, span, most) {
+        draft.push(Event { at_s, kind: EventKind::Replace, who, over_s, ..Event::default() });
+    }
+}
+
+fn crashes(draft: &mut Draft, at_s: f64) {
+    let back_s = draft.between(0.1, 2.0);
+    let most = half_of_servers(draft);
+    let span = Span { at_s, length_s: back_s + SERVER_S };
+    if let Some(who) = some(draft, Resource::ServerLife, span, most) {
+        let back_after_s = Some(back_s);
+        draft.push(Event { at_s, kind: EventKind::Crash, who, back_after_s, ..Event::default() });
+    }
+}
+
+fn hangs(draft: &mut Draft, at_s: f64) {
+    let for_s = draft.lasting(at_s, 2.0, 10.0);
+    server_condition(draft, at_s, for_s, EventKind::Silent, None);
+}
+
+fn failing_servers(draft: &mut Draft, at_s: f64) {
+    let kinds = [
+        EventKind::Errors,
+        EventKind::Slow,
+        EventKind::Reset,
+        EventKind::BreakAnswers,
+        EventKind::Full,
+        EventKind::Refuse,
+    ];
+    let kind = kinds[draft.random.random_range(0..kinds.len())];
+    let amount = match kind {
+        EventKind::Slow => Some(draft.between(2.0, 30.0)),
+        EventKind::Full | EventKind::Refuse => None,
+        _ => Some(draft.between(0.05, 1.0)),
+    };
+    let for_s = draft.lasting(at_s, 0.5, 8.0);
+    server_condition(draft, at_s, for_s, kind, amount);
+}
+
+fn server_condition(
+    draft: &mut Draft,
+    at_s: f64,
+    for_s: f64,
+    kind: EventKind,
+    amount: Option<f64>,
+) {
+    let most = half_of_servers(draft);
+    let span = Span { at_s, length_s: for_s + GAP_S };
+    if let Some(who) = some(draft, Resource::ServerAnswers, span, most) {
+        draft.push(Event { at_s, kind, who, for_s, amount, ..Event::default() });
+    }
+}
+
+fn discovery_outage(draft: &mut Draft, at_s: f64) {
+    let for_s = draft.lasting(at_s, 4.0, 15.0);
+    let span = Span { at_s, length_s: for_s + GAP_S };
+    if !draft.reservations.take_one(&mut draft.random, Resource::Discovery, span) {
+        return;
+    }
+    draft.push(Event { at_s, kind: EventKind::DiscoveryDown, for_s, ..Event::default() });
+    let within = hundredths(at_s + draft.between(0.1, for_s.min(3.0)));
+    match draft.random.random_range(0..4) {
+        0 => drains(draft, within),
+        1 => crashes(draft, within),
+        2 => restarts(draft, within),
+        _ => kills(draft, within),
+    }
+}
+
+fn discovery_wrong(draft: &mut Draft, at_s: f64) {
+    let for_s = draft.lasting(at_s, 1.0, 8.0);
+    let span = Span { at_s, length_s: for_s + GAP_S };
+    if !draft.reservations.take_one(&mut draft.random, Resource::Discovery, span) {
+        return;
+    }
+    let event = Event { at_s, ..Event::default() };
+    let event = match draft.random.random_range(0..3) {
+        0 => {
+            let amount = Some(draft.between(1.0, 10.0));
+            Event { kind: EventKind::DiscoveryStale, for_s, amount, ..event }
+        }
+        1 => Event { kind: EventKind::WatchesSilent, ..event },
+        _ => Event { kind: EventKind::DiscoveryRestart, ..event },
+    };
+    draft.push(event);
+}
+
+fn stream_cuts(draft: &mut Draft, at_s: f64) {
+    let for_s = draft.lasting(at_s, 0.3, 5.0);
+    let span = Span { at_s, length_s: for_s + GAP_S };
+    if !draft.reservations.take_one(&mut draft.random, Resource::Streams, span) {
+        return;
+    }
+    let count = Some(draft.random.random_range(1..=draft.timeline.sidecars.count / 2));
+    let who = Select { count, ..Select::default() };
+    let (kind, amount) = match draft.random.random_bool(0.6) {
+        true => (EventKind::CutStreams, None),
+        false => (EventKind::DelayStreams, Some(draft.between(5.0, 300.0))),
+    };
+    draft.push(Event { at_s, kind, who, for_s, amount, ..Event::default() });
+}
+
+fn zone_cut(draft: &mut Draft, at_s: f64) {
+    let zones = draft.timeline.sidecars.zones;
+    if zones < 2 {
+        return stream_cuts(draft, at_s);
+    }
+    let for_s = draft.lasting(at_s, 0.5, 6.0);
+    let span = Span { at_s, length_s: for_s + GAP_S };
+    if !draft.reservations.take_one(&mut draft.random, Resource::Streams, span) {
+        return;
+    }
+    let zone = Some(Timeline::zone_name(draft.random.random_range(0..zones)));
+    let who = Select { zone, ..Select::default() };
+    draft.push(Event { at_s, kind: EventKind::Partition, who, for_s, ..Event::default() });
+}
+
+fn bad_datagrams(draft: &mut Draft, at_s: f64) {
+    if !draft.timeline.network.may_tell {
+        return failing_servers(draft, at_s);
+    }
+    let for_s = draft.lasting(at_s, 1.0, 8.0);
+    let span = Span { at_s, length_s: for_s + GAP_S };
+    if !draft.reservations.take_one(&mut draft.random, Resource::Datagrams, span) {
+        return;
+    }
+    let kinds = [EventKind::Loss, EventKind::Duplicate, EventKind::Reorder, EventKind::CutOneWay];
+    let kind = kinds.choose(&mut draft.random).copied().unwrap_or(EventKind::Loss);
+    let amount = kind.amount().map(|_| draft.between(0.1, 1.0));
+    let count = Some(draft.random.random_range(1..=draft.timeline.sidecars.count / 2));
+    let who = Select { count, ..Select::default() };
+    draft.push(Event { at_s, kind, who, for_s, amount, ..Event::default() });
+}
+
+fn burst(draft: &mut Draft, at_s: f64) {
+    let for_s = draft.lasting(at_s, 0.5, 4.0);
+    let span = Span { at_s, length_s: for_s + GAP_S };
+    if !draft.reservations.take_one(&mut draft.random, Resource::Load, span) {
+        return;
+    }
+    let amount = Some(draft.between(2.0, 5.0));
+    let who = Select::default();
+    draft.push(Event { at_s, kind: EventKind::Load, who, for_s, amount, ..Event::default() });
+}
--- a/crates/millethook-lab/src/timeline/check.rs
+++ b/crates/millethook-lab/src/timeline/check.rs
@@ -46,6 +46,7 @@
         ("duration_s", run.duration_s, 1.0, LONGEST_S),
         ("warm_up_s", run.warm_up_s, 0.0, 600.0),
         ("late_p99_ms", run.late_p99_ms, 1.0, 10_000.0),
+        ("processor_wait_ms", run.processor_wait_ms, 0.0, 10_000.0),
     ];
     bounds(f, at, &times);
     let (s, at) = parts.sidecars;
--- a/crates/millethook-lab/src/timeline/distribution.rs
+++ b/crates/millethook-lab/src/timeline/distribution.rs
@@ -1,9 +1,9 @@
 //! `[distribution]`: configuration that is published while the fleet runs.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 /// How documents are distributed.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Distribution {
     /// The first so many sidecars are control nodes, dealt out to zones and regions like all; 0: no distribution.
--- a/crates/millethook-lab/src/timeline/event.rs
+++ b/crates/millethook-lab/src/timeline/event.rs
@@ -1,9 +1,9 @@
 //! What happens in a timeline, when, and to whom.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 /// One `[[event]]`.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Event {
     /// When, in seconds after the warm-up.
@@ -30,7 +30,7 @@
 }
 
 /// What an event does.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum EventKind {
     /// Nothing; a mark in the plots.
@@ -196,7 +196,7 @@
 }
 
 /// Some of the sidecars or servers: those for which all that is given holds.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Select {
     /// These, by number from 0.
--- a/crates/millethook-lab/src/timeline/mod.rs
+++ b/crates/millethook-lab/src/timeline/mod.rs
@@ -4,10 +4,11 @@
 mod distribution;
 pub mod event;
 mod read;
+mod write;
 
 use std::path::Path;
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 pub use distribution::Distribution;
 pub use event::{Event, EventKind, Select};
@@ -42,7 +43,7 @@
 }
 
 /// Keys outside of sections.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RunKeys {
     /// What the timeline is for, in a line.
@@ -54,16 +55,25 @@
     pub warm_up_s: f64,
     /// The run does not count if one arrival in a hundred is later than this, in milliseconds.
     pub late_p99_ms: f64,
+    /// A run whose only faults are late answers, late sends to draining servers, or cold servers pushed over does not
+    /// count if a daemon waited longer than this for a processor within a second, in milliseconds; 0: it counts.
+    pub processor_wait_ms: f64,
 }
 
 impl Default for RunKeys {
     fn default() -> RunKeys {
-        RunKeys { about: String::new(), duration_s: 20.0, warm_up_s: 2.0, late_p99_ms: 25.0 }
+        RunKeys {
+            about: String::new(),
+            duration_s: 20.0,
+            warm_up_s: 2.0,
+            late_p99_ms: 25.0,
+            processor_wait_ms: 0.0,
+        }
     }
 }
 
 /// The daemons.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Sidecars {
     /// How many; `--processes` goes before it.
@@ -106,7 +116,7 @@
 }
 
 /// What clients ask for.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Load {
     /// Requests a second of the mean sidecar.
@@ -126,7 +136,7 @@
 }
 
 /// Whether a request may be repeated.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Effect {
     /// It does no harm.
@@ -139,7 +149,7 @@
 }
 
 /// The servers that drop repeats of a keyed request.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Group {
     /// All of them.
@@ -150,7 +160,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Class {
     /// The first part of its path.
@@ -196,7 +206,7 @@
 }
 
 /// The stand-in servers.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Servers {
     /// How many.
@@ -230,7 +240,7 @@
 }
 
 /// The stand-in for discovery: an agent beside each sidecar, or one service that is asked.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Discovery {
     /// A change reaches each agent after a time of its own, drawn from 0 to this, in seconds.
@@ -250,7 +260,7 @@
 }
 
 /// The network between the sidecars, all the time.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Network {
     /// Whether sidecars may send one another datagrams.
@@ -264,7 +274,7 @@
 }
 
 /// The figures of the rules, as in the platform's settings.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Rules {
     /// A final answer may be so much later than the client's time, in milliseconds.
@@ -292,7 +302,7 @@
 }
 
 /// What a run has to show beside the rules. A key that is not there is not looked at.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Expect {
     /// The least share of worth served in aim.
--- a/crates/millethook-lab/src/world/daemon.rs
+++ b/crates/millethook-lab/src/world/daemon.rs
@@ -182,6 +182,8 @@
     pub memory_kib: u64,
     /// Descriptors.
     pub descriptors: usize,
+    /// How long its threads were ready and waited for a processor so far, in sum, in seconds.
+    pub waited_s: f64,
 }
 
 /// Clock ticks in a second, as Linux counts them for `/proc` on every machine of today.
@@ -201,6 +203,18 @@
             cpu_s: (ticks(11)? + ticks(12)?) / TICKS,
             memory_kib: memory.split_whitespace().next()?.parse().ok()?,
             descriptors,
+            waited_s: waited_s(pid),
         })
     }
 }
+
+/// How long the threads of a process waited for a processor; 0 where the kernel does not tell.
+fn waited_s(pid: i32) -> f64 {
+    let Ok(threads) = std::fs::read_dir(format!("/proc/{pid}/task")) else { return 0.0 };
+    let waited = threads.flatten().filter_map(|thread| {
+        // Time on a processor, time waiting for one, and the number of turns.
+        let text = std::fs::read_to_string(thread.path().join("schedstat")).ok()?;
+        text.split_whitespace().nth(1)?.parse::<f64>().ok()
+    });
+    waited.sum::<f64>() / 1e9
+}
--- a/crates/millethook-lab/tests/it/figures.rs
+++ b/crates/millethook-lab/tests/it/figures.rs
@@ -95,6 +95,12 @@
         self
     }
 
+    /// Whether each fault that is found is a matter of time.
+    fn by_time(&self) -> Vec<bool> {
+        let breaches = judge(&self.book, std::slice::from_ref(&self.class), &Rules::default());
+        breaches.iter().map(|b| b.by_time).collect()
+    }
+
     fn broken(&self) -> Vec<Rule> {
         let breaches = judge(&self.book, std::slice::from_ref(&self.class), &Rules::default());
         assert!(breaches.iter().all(|b| b.request.is_none() || !b.way.is_empty()));
@@ -119,6 +125,30 @@
     assert_eq!(after.broken(), [Rule::Lost]);
 }
 
+#[test]
+fn only_late_answers_and_late_sends_are_matters_of_time() {
+    let of = |effect, end, ended| case(effect, Group::All, end, ended);
+    assert_eq!(of(Effect::Safe, End::Served, 2 * S + 60_000).by_time(), [true]);
+    assert_eq!(of(Effect::Safe, End::Silent, 4 * S).by_time(), [true]);
+    assert_eq!(of(Effect::Safe, End::Foreign, S + 1).by_time(), [false]);
+    assert_eq!(of(Effect::Safe, End::Broken, S + 5_000).by_time(), [false]);
+    let after = of(Effect::Safe, End::Served, S + 5_000).attempt(0, S + 100_000, Fate::Served);
+    assert_eq!(after.by_time(), [false]);
+    let refused = of(Effect::Unsafe, End::Refused, S + 400_000).attempt(0, S, Fate::Open);
+    assert_eq!(refused.by_time(), [false]);
+    let mut stray = of(Effect::Safe, End::Served, S + 5_000);
+    stray.book.strays.push((S + 9_000, stray.book.requests[0].id));
+    assert_eq!(stray.by_time(), [false]);
+    let late = 2 * S + 70_000;
+    let mut drained =
+        of(Effect::Safe, End::Served, S + 900_000).attempt(0, S + 800_000, Fate::Served);
+    drained.book.told.push(Told { at: 1, sidecar: 0, server: 0, listed: Listed::Leaving });
+    assert_eq!(drained.by_time(), [true]);
+    // One fault that is none of time stays one beside others.
+    let both = of(Effect::Unsafe, End::Served, late).attempt(0, S, Fate::Served);
+    assert_eq!(both.attempt(1, S + 100_000, Fate::Served).by_time(), [true, false]);
+}
+
 #[test]
 fn effects_are_judged_by_what_may_have_run() {
     let order = |end| case(Effect::Unsafe, Group::All, end, S + 400_000);
--- a/crates/millethook-lab/tests/it/figures_golden.rs
+++ b/crates/millethook-lab/tests/it/figures_golden.rs
@@ -149,6 +149,7 @@
         load: (0..SERVERS).map(|server| load(n, server)).collect(),
     });
     let usage = |at: u64, who: u64| Usage {
+        waited_s: if who == 2 && at > 6 { at as f64 / 400.0 } else { at as f64 / 500.0 },
         cpu_s: if who == 2 && at > 6 { at as f64 / 50.0 - 0.1 } else { at as f64 / 40.0 },
         memory_kib: 9_000 + 100 * at + 7 * who,
         descriptors: (20 + at + who) as usize,
--- a/crates/millethook-lab/tests/it/main.rs
+++ b/crates/millethook-lab/tests/it/main.rs
@@ -5,3 +5,4 @@
 mod figures_golden;
 mod reference;
 mod relay;
+mod soak;
--- /dev/null
+++ b/crates/millethook-lab/tests/it/soak.rs
@@ -0,0 +1,144 @@
+//! Timelines drawn from seeds: the same for the same seed, sound, and within their bounds.
+
+use millethook_lab::plan::Plan;
+use millethook_lab::soak::command::Seeds;
+use millethook_lab::soak::draw;
+use millethook_lab::timeline::event::Target;
+use millethook_lab::timeline::{Event, EventKind, Timeline};
+
+/// So many seeds are looked at.
+const SEEDS: u64 = 500;
+
+fn text(seed: u64) -> String {
+    draw(seed).to_toml().expect("a text")
+}
+
+/// The timeline as `run` reads it.
+fn read(seed: u64) -> Timeline {
+    let text = text(seed);
+    Timeline::from_toml(&text).unwrap_or_else(|faults| panic!("seed {seed}: {faults:?}\n{text}"))
+}
+
+#[test]
+fn the_same_seed_draws_the_same_timeline_and_another_one_another() {
+    for seed in 0..SEEDS {
+        assert_eq!(text(seed), text(seed));
+        assert_ne!(text(seed), text(seed + 1), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_drawn_timeline_reads_back_as_it_was_drawn() {
+    for seed in 0..SEEDS {
+        let (drawn, read) = (draw(seed), read(seed));
+        assert_eq!(read.to_toml().expect("a text"), text(seed));
+        assert_eq!(format!("{read:?}"), format!("{drawn:?}"), "seed {seed}");
+    }
+}
+
+#[test]
+fn the_plan_of_the_file_is_the_plan_of_the_drawn_timeline() {
+    for seed in 0..50 {
+        assert_eq!(Plan::new(&read(seed), seed).digest(), Plan::new(&draw(seed), seed).digest());
+    }
+}
+
+/// When an event is over, in seconds.
+fn end_s(event: &Event) -> f64 {
+    event.at_s + event.for_s.max(event.over_s)
+}
+
+#[test]
+fn fleets_and_times_keep_their_bounds() {
+    for seed in 0..SEEDS {
+        let timeline = read(seed);
+        let run = &timeline.run;
+        assert!((4..=12).contains(&timeline.sidecars.count), "seed {seed}");
+        assert!((15.0..=36.0).contains(&(run.warm_up_s + run.duration_s)), "seed {seed}");
+        assert!(timeline.servers.count >= 2 * timeline.sidecars.zones, "seed {seed}");
+        assert!(!timeline.events.is_empty(), "seed {seed}");
+        let sidecars = &timeline.sidecars;
+        assert!(
+            sidecars.share_evidence || !sidecars.product.contains("dead_servers"),
+            "seed {seed}"
+        );
+        for event in &timeline.events {
+            assert!(end_s(event) <= run.duration_s + 6.0, "seed {seed}: {event:?}");
+            let ends = event.kind.lasts() && event.for_s == 0.0;
+            assert!(!ends, "seed {seed}: it does not end: {event:?}");
+        }
+    }
+}
+
+/// What happens to a process or a server while it is away is lost, and the judge would excuse what it must not.
+#[test]
+fn no_process_or_server_is_ended_while_an_earlier_event_holds_it() {
+    let holds = |event: &Event| match event.kind {
+        EventKind::Pause | EventKind::Throttle => Some(event.for_s),
+        EventKind::Kill | EventKind::Crash => Some(event.back_after_s.unwrap_or(0.0) + 2.0),
+        EventKind::Terminate => Some(event.over_s + event.back_after_s.unwrap_or(0.0) + 2.0),
+        EventKind::Replace => Some(event.over_s + 2.0),
+        _ => None,
+    };
+    for seed in 0..SEEDS {
+        let timeline = read(seed);
+        for (nth, event) in timeline.events.iter().enumerate() {
+            let Some(held_s) = holds(event) else { continue };
+            let ids = event.who.ids.as_ref().expect("ids");
+            let meets = timeline.events[nth + 1..].iter().find(|later| {
+                let ends = holds(later).is_some() || later.kind == EventKind::Reload;
+                let named = later.who.ids.iter().flatten().any(|id| ids.contains(id));
+                let same = later.kind.target() == event.kind.target();
+                ends && same && named && later.at_s < event.at_s + held_s
+            });
+            assert!(meets.is_none(), "seed {seed}: {event:?} meets {meets:?}");
+        }
+    }
+}
+
+#[test]
+fn every_kind_of_trouble_is_drawn() {
+    use EventKind as K;
+    let kinds = [
+        K::Kill,
+        K::Terminate,
+        K::Reload,
+        K::Pause,
+        K::Throttle,
+        K::Replace,
+        K::Crash,
+        K::Silent,
+        K::Errors,
+        K::Slow,
+        K::Reset,
+        K::BreakAnswers,
+        K::Full,
+        K::Refuse,
+        K::DiscoveryDown,
+        K::DiscoveryStale,
+        K::WatchesSilent,
+        K::DiscoveryRestart,
+        K::CutStreams,
+        K::DelayStreams,
+        K::Partition,
+        K::Loss,
+        K::Duplicate,
+        K::Reorder,
+        K::CutOneWay,
+        K::Load,
+    ];
+    let drawn: Vec<Event> = (0..300).flat_map(|seed| draw(seed).events).collect();
+    for kind in kinds {
+        assert!(drawn.iter().any(|event| event.kind == kind), "{kind:?} is never drawn");
+    }
+    assert!(drawn.iter().all(|event| event.kind.target() != Target::Nobody));
+}
+
+#[test]
+fn seeds_are_one_or_the_first_and_the_last() {
+    for wrong in ["", "..", "1..", "..2", "2..1", "a", "-1", "1..2..3"] {
+        assert!(wrong.parse::<Seeds>().is_err(), "{wrong:?}");
+    }
+    assert_eq!("7".parse::<Seeds>(), "7..7".parse());
+    assert!("1..50".parse::<Seeds>().is_ok());
+}
