--- a/crates/millethook-lab/src/plan.rs
+++ b/crates/millethook-lab/src/plan.rs
@@ -70,6 +70,10 @@
     Resume { sidecar: usize },
     /// A new configuration and SIGHUP.
     Reload { sidecar: usize },
+    /// SIGHUP, with nothing new.
+    HangUp { sidecar: usize },
+    /// SIGTERM once the process that starts next is ready; it starts again so long after it has ended, if there is a time.
+    TerminateAtReady { sidecar: usize, back: Option<Duration> },
     /// The process starts.
     Start { sidecar: usize },
     /// A second process starts.
@@ -368,6 +372,10 @@
                     }
                 }
                 EventKind::Reload => add(at, Action::Reload { sidecar: n }),
+                EventKind::HangUp => add(at, Action::HangUp { sidecar: n }),
+                EventKind::TerminateAtReady => {
+                    add(at, Action::TerminateAtReady { sidecar: n, back });
+                }
                 EventKind::Start => add(at, Action::Start { sidecar: n }),
                 EventKind::Twin => add(at, Action::Twin { sidecar: n }),
                 EventKind::Replace => add(at, Action::Replace { server: n }),
--- a/crates/millethook-lab/src/timeline/event.rs
+++ b/crates/millethook-lab/src/timeline/event.rs
@@ -46,6 +46,10 @@
     Throttle,
     /// SIGHUP with a configuration that moves discovery.
     Reload,
+    /// SIGHUP with the configuration as it is, also to a process that is ending.
+    HangUp,
+    /// SIGTERM as soon as the process that starts next is ready.
+    TerminateAtReady,
     /// These sidecars start only now.
     Start,
     /// A second process under the same name and with the same peers, beside the first one.
@@ -126,6 +130,8 @@
             | K::Pause
             | K::Throttle
             | K::Reload
+            | K::HangUp
+            | K::TerminateAtReady
             | K::Start
             | K::Twin
             | K::Load => Target::Sidecars,
@@ -179,6 +185,8 @@
                 | K::Kill
                 | K::Terminate
                 | K::Reload
+                | K::HangUp
+                | K::TerminateAtReady
                 | K::Start
                 | K::Twin
                 | K::Replace
@@ -191,7 +199,8 @@
 
     /// Whether `back_after_s` means something to it.
     pub fn comes_back(self) -> bool {
-        matches!(self, EventKind::Kill | EventKind::Terminate | EventKind::Crash)
+        use EventKind as K;
+        matches!(self, K::Kill | K::Terminate | K::TerminateAtReady | K::Crash)
     }
 }
 
--- a/crates/millethook-lab/src/world/conductor.rs
+++ b/crates/millethook-lab/src/world/conductor.rs
@@ -2,6 +2,7 @@
 
 mod steps;
 
+use std::collections::HashMap;
 use std::io;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -70,6 +71,8 @@
     /// By place in the fleet: the name, its generation, and the process now there.
     servers: Vec<(String, u32, Arc<Server>)>,
     later: Vec<(Instant, Later)>,
+    /// Sidecars that get SIGTERM once they are ready, and when they come back from that.
+    terminate_at_ready: HashMap<usize, Option<Duration>>,
     publisher: Arc<Publisher>,
     /// Where logs are.
     folder: PathBuf,
@@ -161,6 +164,7 @@
         clients: Vec::new(),
         servers,
         later: Vec::new(),
+        terminate_at_ready: HashMap::new(),
         publisher,
         folder: options.folder.clone(),
         outcome: Outcome::default(),
@@ -261,6 +265,9 @@
         if let Some(clients) = self.clients.get(ready.sidecar) {
             clients.offer(true);
         }
+        if let Some(back) = self.terminate_at_ready.remove(&ready.sidecar) {
+            self.terminate(ready.sidecar, back);
+        }
     }
 
     /// Ends everything that was started, and what is left is the outcome.
--- a/crates/millethook-lab/src/world/conductor/steps.rs
+++ b/crates/millethook-lab/src/world/conductor/steps.rs
@@ -24,16 +24,11 @@
                 self.ledger.open().absences.push(ended);
                 self.fleet.end(sidecar, back, Signal::SIGKILL);
             }
-            Action::Terminate { sidecar, back } => {
-                let longest =
-                    self.timeline.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
-                let overdue = Duration::from_secs_f64(longest / 1e3) + END;
-                let begin = Instant::now();
-                self.later.push((begin + GOES_ON, Later::StopOffering { sidecar }));
-                for pid in self.fleet.end(sidecar, back, Signal::SIGTERM) {
-                    self.later.push((begin + overdue, Later::Overdue { pid }));
-                }
+            Action::Terminate { sidecar, back } => self.terminate(sidecar, back),
+            Action::TerminateAtReady { sidecar, back } => {
+                self.terminate_at_ready.insert(sidecar, back);
             }
+            Action::HangUp { sidecar } => self.fleet.hang_up(sidecar),
             Action::Pause { sidecar } => {
                 self.fleet.signal(sidecar, Signal::SIGSTOP);
                 let paused = Absence { sidecar, from: now, to: Micros::MAX, ended: false };
@@ -83,6 +78,17 @@
         Ok(())
     }
 
+    /// A planned end of a sidecar begins.
+    pub(super) fn terminate(&mut self, sidecar: usize, back: Option<Duration>) {
+        let longest = self.timeline.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
+        let overdue = Duration::from_secs_f64(longest / 1e3) + END;
+        let begin = Instant::now();
+        self.later.push((begin + GOES_ON, Later::StopOffering { sidecar }));
+        for pid in self.fleet.end(sidecar, back, Signal::SIGTERM) {
+            self.later.push((begin + overdue, Later::Overdue { pid }));
+        }
+    }
+
     /// A sidecar's absence is over.
     pub(super) fn back(&self, sidecar: usize, now: Micros, ended: bool) {
         let mut book = self.ledger.open();
--- a/crates/millethook-lab/src/world/processes.rs
+++ b/crates/millethook-lab/src/world/processes.rs
@@ -299,6 +299,18 @@
         }
     }
 
+    /// Sends SIGHUP to all processes of a sidecar, also to those that are ending.
+    pub fn hang_up(&self, sidecar: usize) {
+        for (pid, process) in self.running.iter().filter(|(_, p)| p.sidecar == sidecar) {
+            match signal(*pid, Signal::SIGHUP) {
+                // One that is ending may have ended in this moment.
+                Err(_) if process.ending => {}
+                Err(e) => self.finding(format!("SIGHUP to process {pid}: {e}")),
+                Ok(()) => {}
+            }
+        }
+    }
+
     /// Ends the processes of a sidecar by a signal; which ones.
     pub fn end(&mut self, sidecar: usize, back: Option<Duration>, which: Signal) -> Vec<i32> {
         let pids = self.pids(sidecar);
--- a/crates/millethook-lab/tests/it/soak.rs
+++ b/crates/millethook-lab/tests/it/soak.rs
@@ -75,6 +75,8 @@
 fn no_process_or_server_is_ended_while_an_earlier_event_holds_it() {
     let holds = |event: &Event| match event.kind {
         EventKind::Pause | EventKind::Throttle => Some(event.for_s),
+        // The signals of a series are for one process. It is ready and ends once more before another event may come.
+        EventKind::TerminateAtReady => Some(5.0),
         EventKind::Kill | EventKind::Crash => Some(event.back_after_s.unwrap_or(0.0) + 2.0),
         EventKind::Terminate => Some(event.over_s + event.back_after_s.unwrap_or(0.0) + 2.0),
         EventKind::Replace => Some(event.over_s + 2.0),
@@ -86,7 +88,12 @@
             let Some(held_s) = holds(event) else { continue };
             let ids = event.who.ids.as_ref().expect("ids");
             let meets = timeline.events[nth + 1..].iter().find(|later| {
+                let of_series = matches!(
+                    (event.kind, later.kind),
+                    (EventKind::TerminateAtReady, EventKind::Kill)
+                );
                 let ends = holds(later).is_some() || later.kind == EventKind::Reload;
+                let ends = ends && !(of_series && later.at_s < event.at_s + 0.02);
                 let named = later.who.ids.iter().flatten().any(|id| ids.contains(id));
                 let same = later.kind.target() == event.kind.target();
                 ends && same && named && later.at_s < event.at_s + held_s
@@ -103,6 +110,8 @@
         K::Kill,
         K::Terminate,
         K::Reload,
+        K::HangUp,
+        K::TerminateAtReady,
         K::Pause,
         K::Throttle,
         K::Replace,
