--- a/crates/millethook-lab/src/scale/daemon.rs
+++ b/crates/millethook-lab/src/scale/daemon.rs
@@ -15,7 +15,7 @@
 use crate::timeline::Timeline;
 use crate::world::addresses::Addresses;
 use crate::world::daemon::{Exit, Launch, Wiring, configuration, signal};
-use crate::world::processes::until_ready;
+use crate::world::readiness::until_ready;
 use crate::world::views::metrics;
 use crate::world::{RunError, machine};
 
--- a/crates/millethook-lab/src/soak/fleet.rs
+++ b/crates/millethook-lab/src/soak/fleet.rs
@@ -15,6 +15,8 @@
 const UTILIZATION: (f64, f64) = (0.2, 0.75);
 /// The least and the most requests a second of the mean sidecar.
 const PER_SIDECAR: (f64, f64) = (4.0, 25.0);
+/// How long clients of writes wait, in milliseconds: SIGKILL comes so long after SIGTERM, and 0.7 s.
+const WRITE_DEADLINES_MS: [f64; 3] = [600.0, 1_500.0, 3_000.0];
 /// Shares of timelines with a view of the fleet, with kept writes, and with a discovery that is asked.
 const VIEW_SHARE: f64 = 0.6;
 const EDGE_SHARE: f64 = 0.3;
@@ -86,30 +88,25 @@
 fn classes(random: &mut ChaCha8Rng) -> Vec<Class> {
     let group = if random.random_bool(0.5) { Group::All } else { Group::Zone };
     let work_ms = f64::from(random.random_range(10..=40_u32));
+    let deadline_ms = WRITE_DEADLINES_MS[random.random_range(0..WRITE_DEADLINES_MS.len())];
+    let write = Class { work_ms, aim_ms: 400.0, deadline_ms, worth: 3.0, ..Class::default() };
     let look = Class { share: 5.0, work_ms, ..Class::default() };
-    let keep = Class {
-        name: "keep".into(),
-        effect: Effect::Keyed,
-        group,
-        share: 2.0,
-        ..write_class(work_ms)
-    };
-    let order =
-        Class { name: "order".into(), effect: Effect::Unsafe, share: 2.0, ..write_class(work_ms) };
+    let keep =
+        Class { name: "keep".into(), effect: Effect::Keyed, group, share: 2.0, ..write.clone() };
+    let order = Class { name: "order".into(), effect: Effect::Unsafe, share: 2.0, ..write };
     vec![look, keep, order]
 }
 
-fn write_class(work_ms: f64) -> Class {
-    Class { work_ms, aim_ms: 400.0, deadline_ms: 1_500.0, worth: 3.0, ..Class::default() }
-}
-
 fn kept_class(random: &mut ChaCha8Rng) -> Class {
     Class {
         name: "log-upload".into(),
         effect: Effect::Unsafe,
         receipts: true,
         chain: random.random_range(0..=3),
-        ..write_class(20.0)
+        aim_ms: 400.0,
+        deadline_ms: 1_500.0,
+        worth: 3.0,
+        ..Class::default()
     }
 }
 
--- a/crates/millethook-lab/src/soak/trouble.rs
+++ b/crates/millethook-lab/src/soak/trouble.rs
@@ -11,11 +11,15 @@
 /// Between the start of a process and the next thing that is done to it, in seconds: it has to be ready by then.
 const START_S: f64 = 3.0;
 /// What a planned end takes at most, in seconds: the longest deadline and what the lab adds.
-const END_S: f64 = 2.5;
+const END_S: f64 = 4.0;
+/// Clients are busy for so long before their sidecar ends: they open connections, and use them up to the end.
+const BUSY_BEFORE_S: f64 = 1.0;
 /// A server that has left or come is let alone for so long, in seconds.
 const SERVER_S: f64 = 4.0;
 /// A moved discovery takes the place of the old one for so long, in seconds.
 const RELOAD_S: f64 = 2.0;
+/// The most sidecars whose clients are busy at once: the machine has to keep up.
+const MOST_BUSY: usize = 3;
 /// Events of other targets follow one another by so much, in seconds.
 const GAP_S: f64 = 0.5;
 
@@ -40,6 +44,8 @@
     Hangs,
     /// Servers hang while sidecars end, and go on hanging.
     HangsThroughShutdown,
+    /// Sidecars end while their clients are busy on many open connections, and some servers hang.
+    BusyShutdown,
     /// Servers fail, break off, turn away, refuse, or are slow.
     FailingServers,
     /// Servers end and come back cold.
@@ -58,7 +64,7 @@
     Burst,
 }
 
-const ALL: [Trouble; 17] = [
+const ALL: [Trouble; 18] = [
     Trouble::Kills,
     Trouble::RollingRestart,
     Trouble::Reloads,
@@ -68,6 +74,7 @@
     Trouble::DrainsAndRestarts,
     Trouble::Hangs,
     Trouble::HangsThroughShutdown,
+    Trouble::BusyShutdown,
     Trouble::FailingServers,
     Trouble::Crashes,
     Trouble::DiscoveryOutage,
@@ -104,6 +111,7 @@
                 let at_s = at_s + draft.between(0.05, GAP_S);
                 restarts(draft, at_s);
             }
+            Trouble::BusyShutdown => busy_shutdown(draft, at_s),
             Trouble::FailingServers => failing_servers(draft, at_s),
             Trouble::Crashes => crashes(draft, at_s),
             Trouble::DiscoveryOutage => discovery_outage(draft, at_s),
@@ -149,6 +157,26 @@
     }
 }
 
+fn busy_shutdown(draft: &mut Draft, at_s: f64) {
+    let back_s = draft.between(0.0, 0.5);
+    let busy_s = BUSY_BEFORE_S + END_S;
+    let span = Span { at_s, length_s: busy_s + GAP_S };
+    if !draft.reservations.take_one(&mut draft.random, Resource::Load, span) {
+        return;
+    }
+    let span = Span { at_s, length_s: busy_s + back_s + START_S };
+    let Some(who) = some(draft, Resource::Process, span, MOST_BUSY) else { return };
+    if draft.random.random_bool(0.5) {
+        hangs(draft, at_s);
+    }
+    let for_s = draft.lasting(at_s, busy_s, busy_s);
+    let amount = Some(draft.between(3.0, 8.0));
+    let (kind, busy) = (EventKind::Load, who.clone());
+    draft.push(Event { at_s, kind, who: busy, for_s, amount, ..Event::default() });
+    let (at_s, back_after_s) = (at_s + BUSY_BEFORE_S, Some(back_s));
+    draft.push(Event { at_s, kind: EventKind::Terminate, who, back_after_s, ..Event::default() });
+}
+
 fn reloads(draft: &mut Draft, at_s: f64) {
     let over_s = draft.between(0.0, 2.0);
     let most = draft.timeline.sidecars.count;
--- a/crates/millethook-lab/src/world/client.rs
+++ b/crates/millethook-lab/src/world/client.rs
@@ -322,10 +322,15 @@
         addresses[self.turn.fetch_add(1, Ordering::Relaxed) % addresses.len()]
     }
 
-    /// A connection at rest on which nothing stands.
+    /// A connection at rest on which nothing stands. After SIGTERM all that are open are used in turn, so that each
+    /// one that the sidecar leaves open gets requests up to its end.
     fn checkout(&self) -> Option<(Wire, SocketAddr)> {
         loop {
-            let rested = self.rest.lock().unwrap_or_else(PoisonError::into_inner).pop_back();
+            let in_turn = self.offering.load(Ordering::Relaxed) == KEEPS;
+            let rested = {
+                let mut rest = self.rest.lock().unwrap_or_else(PoisonError::into_inner);
+                if in_turn { rest.pop_front() } else { rest.pop_back() }
+            };
             let (mut wire, id, at) = rested?;
             match wire.between() {
                 Between::Clean => return Some((wire, at)),
--- a/crates/millethook-lab/src/world/mod.rs
+++ b/crates/millethook-lab/src/world/mod.rs
@@ -13,6 +13,7 @@
 pub mod network;
 pub mod processes;
 pub mod publisher;
+pub mod readiness;
 pub mod registry;
 pub mod relay;
 pub mod server;
--- a/crates/millethook-lab/src/world/processes.rs
+++ b/crates/millethook-lab/src/world/processes.rs
@@ -8,14 +8,13 @@
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use super::addresses::Addresses;
 use super::daemon::{Exit, Launch, Usage, Wiring, configuration, signal};
-use super::http::Wire;
+use super::readiness::until_ready;
 use super::relay::Relay;
 use super::{Options, ProcessSample, RunError, machine, members};
 use crate::ledger::{Clock, Ledger};
@@ -30,8 +29,6 @@
 
 /// All daemons have to be ready within this.
 const READY: Duration = Duration::from_secs(60);
-/// Between two questions whether a daemon is ready.
-const ASK: Duration = Duration::from_millis(20);
 
 /// A daemon's process.
 struct Process {
@@ -384,20 +381,3 @@
     let stores = folder.join(format!("edge{host}"));
     format!("\n[edge]\nfolder = {:?}\nclasses = [{classes}]\n{EDGE}", stores.display().to_string())
 }
-
-/// Asks a daemon until it is ready.
-pub async fn until_ready(at: std::net::SocketAddr) {
-    while !is_ready(at).await {
-        sleep(ASK).await;
-    }
-}
-
-/// Whether a daemon answers that it is ready.
-async fn is_ready(at: std::net::SocketAddr) -> bool {
-    let asked = timeout(Duration::from_secs(1), async {
-        let mut wire = Wire::new(TcpStream::connect(at).await.ok()?);
-        wire.send(b"GET /health/ready HTTP/1.1\r\nHost: app\r\n\r\n").await.ok()?;
-        wire.answer().await.ok()?
-    });
-    matches!(asked.await, Ok(Some(answer)) if answer.status == 200)
-}
--- a/crates/millethook-lab/tests/it/soak.rs
+++ b/crates/millethook-lab/tests/it/soak.rs
@@ -141,6 +141,8 @@
         assert!(drawn.iter().any(|event| event.kind == kind), "{kind:?} is never drawn");
     }
     assert!(drawn.iter().all(|event| event.kind.target() != Target::Nobody));
+    let busy = |event: &Event| event.kind == K::Load && event.who.ids.is_some();
+    assert!(drawn.iter().any(busy), "no sidecar's clients are busy alone");
 }
 
 #[test]
--- a/crates/millethook-lab/tests/processes.rs
+++ b/crates/millethook-lab/tests/processes.rs
@@ -106,7 +106,7 @@
 }
 
 /// Seeds whose timelines are short.
-const SOAK_SEEDS: [&str; 2] = ["43", "122"];
+const SOAK_SEEDS: [&str; 2] = ["209", "370"];
 
 #[test]
 fn timelines_drawn_from_seeds_keep_the_rules() {
