--- a/crates/millethook-lab/src/plan.rs
+++ b/crates/millethook-lab/src/plan.rs
@@ -1,5 +1,7 @@
 //! What a run will do, drawn from the timeline and the seed before anything starts: the same for the same seed.
 
+mod steps;
+
 use std::hash::{Hash, Hasher};
 use std::time::Duration;
 
@@ -10,6 +12,7 @@
 
 use crate::timeline::event::Target;
 use crate::timeline::{EventKind, Select, Timeline};
+use steps::steps;
 
 /// The most arrivals of one sidecar: ids have room for so many.
 const MAX_ARRIVALS: usize = 1 << 24;
@@ -331,85 +334,3 @@
     }
     arrivals
 }
-
-/// A throttled process stands still for a part of each of these.
-const SLICE: Duration = Duration::from_millis(100);
-/// A crash without `back_after_s` lasts so long.
-const CRASH: Duration = Duration::from_millis(500);
-
-fn steps(timeline: &Timeline, drawn: &[Vec<usize>], warm_up: Duration) -> Vec<Step> {
-    let mut steps = Vec::new();
-    for (nth, (event, who)) in timeline.events.iter().zip(drawn).enumerate() {
-        let begin = warm_up + Duration::from_secs_f64(event.at_s);
-        let lasting = event.kind.lasts() && event.for_s > 0.0;
-        let length = Duration::from_secs_f64(event.for_s);
-        let amount = event.amount.unwrap_or(0.0);
-        let back = event.back_after_s.map(Duration::from_secs_f64);
-        let mut add = |at, action| steps.push(Step { at, action });
-        add(begin, Action::Mark { event: nth, begins: true });
-        let over = Duration::from_secs_f64(event.over_s);
-        for (place, &n) in who.iter().enumerate() {
-            let at = begin + over.mul_f64(place as f64 / who.len().max(1) as f64);
-            let on_off = |make: &dyn Fn(bool) -> Action, add: &mut dyn FnMut(Duration, Action)| {
-                add(at, make(true));
-                if lasting {
-                    add(at + length, make(false));
-                }
-            };
-            match event.kind {
-                EventKind::Kill => add(at, Action::Kill { sidecar: n, back }),
-                EventKind::Terminate => add(at, Action::Terminate { sidecar: n, back }),
-                EventKind::Pause => {
-                    add(at, Action::Pause { sidecar: n });
-                    add(at + length, Action::Resume { sidecar: n });
-                }
-                EventKind::Throttle => {
-                    let stopped = SLICE.mul_f64(1.0 - 1.0 / amount.max(1.0));
-                    let slices = (event.for_s / SLICE.as_secs_f64()) as u32;
-                    for from in (0..slices).map(|nth| at + SLICE * nth) {
-                        add(from, Action::Pause { sidecar: n });
-                        add(from + stopped, Action::Resume { sidecar: n });
-                    }
-                }
-                EventKind::Reload => add(at, Action::Reload { sidecar: n }),
-                EventKind::HangUp => add(at, Action::HangUp { sidecar: n }),
-                EventKind::TerminateAtReady => {
-                    add(at, Action::TerminateAtReady { sidecar: n, back });
-                }
-                EventKind::Start => add(at, Action::Start { sidecar: n }),
-                EventKind::Twin => add(at, Action::Twin { sidecar: n }),
-                EventKind::Replace => add(at, Action::Replace { server: n }),
-                EventKind::Crash => {
-                    add(at, Action::Crash { server: n, back: back.unwrap_or(CRASH) });
-                }
-                kind if kind.target() == Target::Servers => {
-                    on_off(&|on| Action::Server { server: n, kind, amount, on }, &mut add);
-                }
-                kind if kind.target() == Target::Discovery => {
-                    on_off(&|on| Action::Discovery { sidecar: n, kind, amount, on }, &mut add);
-                }
-                // Load is in the arrivals already, and the network follows once for all below.
-                _ => {}
-            }
-        }
-        if event.kind.target() == Target::Network {
-            add(begin, Action::Network { event: nth, on: true });
-            if lasting {
-                add(begin + length, Action::Network { event: nth, on: false });
-            }
-        }
-        if event.kind == EventKind::Publish {
-            let count = amount.round() as usize;
-            for document in 0..count {
-                let at = begin + over.mul_f64(document as f64 / count.max(1) as f64);
-                add(at, Action::Publish { event: nth, nth: document });
-            }
-        }
-        let end = if lasting { length } else { over };
-        if end > Duration::ZERO {
-            add(begin + end, Action::Mark { event: nth, begins: false });
-        }
-    }
-    steps.sort_by_key(|step| step.at);
-    steps
-}
