--- a/crates/millethook-lab/src/world/conductor.rs
+++ b/crates/millethook-lab/src/world/conductor.rs
@@ -11,7 +11,7 @@
 
 use indicatif::ProgressBar;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep, sleep_until};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, sleep_until, timeout};
 
 use super::addresses::Addresses;
 use super::agent::Agent;
@@ -43,6 +43,9 @@
 /// Answers may be awaited so long beyond the load.
 const LAST: Duration = Duration::from_secs(10);
 
+/// Killed processes are gone within this.
+const GONE: Duration = Duration::from_secs(10);
+
 /// What is to happen at a time that the plan could not know.
 enum Later {
     /// A process starts again.
@@ -91,15 +94,25 @@
 ) -> Result<Outcome, RunError> {
     progress.set_message("starting");
     let (mut lead, mut events) = start(timeline, plan, options).await?;
-    if !lead.fleet.first_starts(&mut events.exits).await? {
-        return Ok(lead.finish(Duration::ZERO));
-    }
     let lateness = Lateness::new().map_err(|e| machine("a histogram")(io::Error::other(e)))?;
     let lateness = Arc::new(lateness);
-    lead.begin(&lateness);
-    progress.set_message("playing");
-    lead.conduct(&mut events, progress).await?;
-    Ok(lead.finish(lateness.quantile(0.99)))
+    if lead.fleet.first_starts(&mut events.exits).await? {
+        lead.begin(&lateness);
+        progress.set_message("playing");
+        lead.conduct(&mut events, progress).await?;
+    }
+    let outcome = lead.finish(lateness.quantile(0.99));
+    until_gone(&mut events).await;
+    Ok(outcome)
+}
+
+/// Waits until all processes that were killed are gone: the next run of this process binds their addresses.
+async fn until_gone(events: &mut Events) {
+    // Each process that is waited for holds a sender.
+    let gone = async { while events.exits.recv().await.is_some() {} };
+    if timeout(GONE, gone).await.is_err() {
+        tracing::warn!(event = "processes_left", "killed processes were not gone after {GONE:?}");
+    }
 }
 
 async fn start(
