--- a/crates/millethook-lab/src/plan.rs
+++ b/crates/millethook-lab/src/plan.rs
@@ -77,6 +77,8 @@
     HangUp { sidecar: usize },
     /// SIGTERM once the process that starts next is ready; it starts again so long after it has ended, if there is a time.
     TerminateAtReady { sidecar: usize, back: Option<Duration> },
+    /// Clients that ask for nothing come, or go.
+    IdleClients { sidecar: usize, count: usize, on: bool },
     /// The process starts.
     Start { sidecar: usize },
     /// A second process starts.
--- a/crates/millethook-lab/src/plan/steps.rs
+++ b/crates/millethook-lab/src/plan/steps.rs
@@ -74,6 +74,10 @@
         EventKind::Twin => add(at, Action::Twin { sidecar: n }),
         EventKind::Replace => add(at, Action::Replace { server: n }),
         EventKind::Crash => add(at, Action::Crash { server: n, back: back.unwrap_or(CRASH) }),
+        EventKind::IdleClients => {
+            let count = amount.round() as usize;
+            on_off(&|on| Action::IdleClients { sidecar: n, count, on }, add);
+        }
         kind if kind.target() == Target::Servers => {
             on_off(&|on| Action::Server { server: n, kind, amount, on }, add);
         }
--- a/crates/millethook-lab/src/soak/mod.rs
+++ b/crates/millethook-lab/src/soak/mod.rs
@@ -7,10 +7,11 @@
 mod trouble;
 
 use rand::Rng;
+use rand::seq::IteratorRandom;
 use rand_chacha::ChaCha8Rng;
 
 use crate::plan::stream;
-use crate::timeline::{Event, Timeline};
+use crate::timeline::{Event, EventKind, Select, Timeline};
 use reservations::Reservations;
 use trouble::Trouble;
 
@@ -33,6 +34,12 @@
 /// The others come after a longer time.
 const APART_S: (f64, f64) = (0.5, 6.0);
 
+/// This share of the timelines has a crowd of idle clients at up to `MOST_CROWDED` sidecars, of up to as many
+/// connections as a sidecar may hold descriptors.
+const CROWD_SHARE: f64 = 0.2;
+const MOST_CROWDED: usize = 3;
+const SMALLEST_CROWD: usize = 50;
+
 /// A timeline as it is drawn.
 struct Draft {
     random: ChaCha8Rng,
@@ -71,6 +78,8 @@
     let reservations = Reservations::new(&timeline);
     let mut draft = Draft { random, timeline, reservations };
     draw_troubles(&mut draft);
+    draft.random = stream(seed, "soak crowd", 0);
+    draw_crowd(&mut draft);
     let Draft { mut timeline, .. } = draft;
     timeline.events.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
     timeline.run.about = format!("Soak, seed {seed}");
@@ -92,3 +101,20 @@
         }
     }
 }
+
+/// The crowd has random numbers of its own, so that timelines without one are what they are without this.
+fn draw_crowd(draft: &mut Draft) {
+    if !draft.random.random_bool(CROWD_SHARE) {
+        return;
+    }
+    let at_s = draft.between(FIRST_S, draft.timeline.run.duration_s - TAIL_S);
+    let for_s = draft.lasting(at_s, TAIL_S, LONGEST_S);
+    let descriptors = draft.timeline.sidecars.descriptors;
+    let clients = draft.random.random_range(SMALLEST_CROWD..=descriptors);
+    let crowded = draft.random.random_range(1..=MOST_CROWDED);
+    let mut ids = (0..draft.timeline.sidecars.count).choose_multiple(&mut draft.random, crowded);
+    ids.sort_unstable();
+    let who = Select { ids: Some(ids), ..Select::default() };
+    let (kind, amount) = (EventKind::IdleClients, Some(clients as f64));
+    draft.push(Event { at_s, kind, who, for_s, amount, ..Event::default() });
+}
--- a/crates/millethook-lab/src/timeline/check.rs
+++ b/crates/millethook-lab/src/timeline/check.rs
@@ -242,8 +242,9 @@
     if !publishes && (event.scope.is_some() || event.document.is_some()) {
         f.at(at, "do", "scope and document expected only with publish");
     }
+    let of_clients = matches!(kind, EventKind::Load | EventKind::IdleClients);
     let staggers = publishes
-        || matches!(kind.target(), Target::Sidecars) && kind != EventKind::Load
+        || matches!(kind.target(), Target::Sidecars) && !of_clients
         || matches!(kind, EventKind::Replace | EventKind::Crash);
     if event.over_s > 0.0 && !staggers {
         f.at(at, "over_s", "not expected for this event");
--- a/crates/millethook-lab/src/timeline/event.rs
+++ b/crates/millethook-lab/src/timeline/event.rs
@@ -100,6 +100,8 @@
     DelayStreams,
     /// Load is `amount` times as high.
     Load,
+    /// So many clients (`amount`) connect to each sidecar and ask for nothing.
+    IdleClients,
     /// So many documents (`amount`) are published, over `over_s`.
     Publish,
 }
@@ -134,7 +136,8 @@
             | K::TerminateAtReady
             | K::Start
             | K::Twin
-            | K::Load => Target::Sidecars,
+            | K::Load
+            | K::IdleClients => Target::Sidecars,
             K::Errors
             | K::Slow
             | K::Silent
@@ -170,6 +173,7 @@
             K::Load => Some(("a factor of load", 0.0, 100.0)),
             K::Delay | K::DelayStreams => Some(("milliseconds", 0.0, 60_000.0)),
             K::Cap => Some(("bytes a second", 1.0, 1e9)),
+            K::IdleClients => Some(("clients", 1.0, 4_096.0)),
             K::Publish => Some(("documents", 1.0, 1_000.0)),
             K::DiscoveryStale => Some(("seconds", 0.0, 86_400.0)),
             _ => None,
--- a/crates/millethook-lab/src/world/conductor.rs
+++ b/crates/millethook-lab/src/world/conductor.rs
@@ -76,6 +76,8 @@
     later: Vec<(Instant, Later)>,
     /// Sidecars that get SIGTERM once they are ready, and when they come back from that.
     terminate_at_ready: HashMap<usize, Option<Duration>>,
+    /// Clients that ask for nothing, by sidecar.
+    crowds: HashMap<usize, AbortOnDrop>,
     publisher: Arc<Publisher>,
     /// Where logs are.
     folder: PathBuf,
@@ -178,6 +180,7 @@
         servers,
         later: Vec::new(),
         terminate_at_ready: HashMap::new(),
+        crowds: HashMap::new(),
         publisher,
         folder: options.folder.clone(),
         outcome: Outcome::default(),
--- a/crates/millethook-lab/src/world/conductor/steps.rs
+++ b/crates/millethook-lab/src/world/conductor/steps.rs
@@ -6,9 +6,10 @@
 use tokio::time::{Instant, sleep};
 
 use super::super::agent::Mode;
+use super::super::crowd::idle_clients;
 use super::super::server::Server;
 use super::super::{RunError, machine};
-use super::{Conductor, END, GOES_ON, Later};
+use super::{AbortOnDrop, Conductor, END, GOES_ON, Later};
 use crate::ledger::{Absence, Micros};
 use crate::plan::{Action, DRAIN, Step};
 use crate::timeline::EventKind;
@@ -43,6 +44,10 @@
                 self.fleet.reload(sidecar, at.map_err(machine("an agent of discovery"))?);
                 self.ledger.open().moves.push((sidecar, now));
             }
+            Action::IdleClients { sidecar, count, on: true } => self.idle_clients(sidecar, count),
+            Action::IdleClients { sidecar, on: false, .. } => {
+                self.crowds.remove(&sidecar);
+            }
             Action::Start { sidecar } => self.fleet.start(sidecar, 0)?,
             Action::Twin { sidecar } => {
                 self.fleet.start(sidecar, 1)?;
@@ -78,6 +83,13 @@
         Ok(())
     }
 
+    /// Clients that ask for nothing connect to a sidecar.
+    fn idle_clients(&mut self, sidecar: usize, count: usize) {
+        let at = self.fleet.addresses.listen(sidecar, 0);
+        let crowd = tokio::spawn(idle_clients(at, count));
+        self.crowds.insert(sidecar, AbortOnDrop(crowd.abort_handle()));
+    }
+
     /// A planned end of a sidecar begins.
     pub(super) fn terminate(&mut self, sidecar: usize, back: Option<Duration>) {
         let longest = self.timeline.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
--- a/crates/millethook-lab/src/world/mod.rs
+++ b/crates/millethook-lab/src/world/mod.rs
@@ -4,6 +4,7 @@
 pub mod agent;
 pub mod client;
 mod conductor;
+mod crowd;
 pub mod daemon;
 pub mod directory;
 pub mod documents;
--- a/crates/millethook-lab/tests/it/soak.rs
+++ b/crates/millethook-lab/tests/it/soak.rs
@@ -135,6 +135,7 @@
         K::Reorder,
         K::CutOneWay,
         K::Load,
+        K::IdleClients,
     ];
     let drawn: Vec<Event> = (0..300).flat_map(|seed| draw(seed).events).collect();
     for kind in kinds {
