--- a/crates/millethook-lab/src/world/mod.rs
+++ b/crates/millethook-lab/src/world/mod.rs
@@ -3,6 +3,7 @@
 pub mod addresses;
 pub mod agent;
 pub mod client;
+mod conditions;
 mod conductor;
 mod crowd;
 pub mod daemon;
--- a/crates/millethook-lab/src/world/server.rs
+++ b/crates/millethook-lab/src/world/server.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{Semaphore, watch};
 use tokio::time::{sleep, timeout};
 
+use super::conditions::Conditions;
 use super::http::{Message, Wire, answer};
 use super::links::Links;
 use crate::ledger::cold::{ColdBudget, Warmth};
@@ -53,32 +54,6 @@
     }
 }
 
-/// The faults that a server has at present.
-#[derive(Clone, Copy, Debug)]
-struct Conditions {
-    errors: f64,
-    slow: f64,
-    silent: bool,
-    reset: f64,
-    breaks: f64,
-    full: bool,
-    draining: bool,
-}
-
-impl Default for Conditions {
-    fn default() -> Conditions {
-        Conditions {
-            errors: 0.0,
-            slow: 1.0,
-            silent: false,
-            reset: 0.0,
-            breaks: 0.0,
-            full: false,
-            draining: false,
-        }
-    }
-}
-
 /// Whether connections come up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Door {
@@ -177,26 +152,19 @@
 
     /// Takes a condition on, or gets rid of it.
     pub fn condition(&self, kind: EventKind, amount: f64, on: bool) {
-        let mut now = self.conditions.lock().unwrap_or_else(PoisonError::into_inner);
-        match kind {
-            EventKind::Errors => now.errors = if on { amount } else { 0.0 },
-            EventKind::Slow => now.slow = if on { amount } else { 1.0 },
-            EventKind::Silent => now.silent = on,
-            EventKind::Reset => now.reset = if on { amount } else { 0.0 },
-            EventKind::BreakAnswers => now.breaks = if on { amount } else { 0.0 },
-            EventKind::Full => now.full = on,
-            EventKind::Refuse => {
-                let door = if on { Door::Refusing } else { Door::Open };
-                self.door.send_if_modified(|now| {
-                    let changes = *now != Door::Dead && *now != door;
-                    if changes {
-                        *now = door;
-                    }
-                    changes
-                });
-            }
-            _ => {}
+        if kind != EventKind::Refuse {
+            let mut now = self.conditions.lock().unwrap_or_else(PoisonError::into_inner);
+            now.set(kind, amount, on);
+            return;
         }
+        let door = if on { Door::Refusing } else { Door::Open };
+        self.door.send_if_modified(|now| {
+            let changes = *now != Door::Dead && *now != door;
+            if changes {
+                *now = door;
+            }
+            changes
+        });
     }
 
     /// From now on it finishes what it has, and turns new requests away.
