--- a/crates/coppercart/tests/it/common/mod.rs
+++ b/crates/coppercart/tests/it/common/mod.rs
@@ -1,6 +1,8 @@
 //! A small driver for the tests: servers, and a balancer with its actions at hand.
 #![allow(dead_code)]
 
+pub mod fleet;
+
 use coppercart::api::*;
 use coppercart::decide::Balancer;
 use coppercart::settings::Settings;
