--- a/crates/coppercart/tests/it/main.rs
+++ b/crates/coppercart/tests/it/main.rs
@@ -8,4 +8,5 @@
 mod replay;
 mod retune;
 mod rules;
+mod swing;
 mod wire;
