--- a/crates/millethook-engine/src/upstream/attempt/mod.rs
+++ b/crates/millethook-engine/src/upstream/attempt/mod.rs
@@ -276,7 +276,7 @@
     };
     match timeout(DISCARD, rest).await {
         Ok(Some(())) if turned_away => running.lease.close(),
-        Ok(Some(())) => running.lease.end(&running.exchange),
+        Ok(Some(())) => running.end(),
         Ok(None) | Err(_) => {}
     }
 }
--- a/crates/millethook-engine/src/upstream/attempt/own_answer.rs
+++ b/crates/millethook-engine/src/upstream/attempt/own_answer.rs
@@ -20,7 +20,7 @@
 use millethook_connect::facts::Caught;
 use millethook_connect::request::Persistence;
 use millethook_connect::response::is_other_answer;
-use millethook_connect::{Event, Progress, ResponseHead};
+use millethook_connect::{Event, Execution, Progress, ResponseHead};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
@@ -44,16 +44,21 @@
     /// for a proof that this one never ran.
     ///
     /// # Errors
-    /// Too many answers came ahead, or the connection broke.
+    /// Too many answers came ahead, the connection broke, or an earlier answer came while the request was held back:
+    /// nothing more of it goes out then, and no answer of its own comes.
     pub(super) async fn own_head(
         &self,
         mut running: Running,
         mut head: ResponseHead,
     ) -> Result<(Running, ResponseHead), Running> {
-        for _ in 0..=MOST_SKIPPED {
+        for skipped in 0.. {
             if self.is_own_head(&running) {
                 return Ok((running, head));
             }
+            let never_ran = running.exchange.execution() == Execution::NeverRan;
+            if never_ran || skipped == MOST_SKIPPED {
+                break;
+            }
             match running.next_head().await {
                 Ok(next) => head = next,
                 Err(Broken) => break,
@@ -69,7 +74,10 @@
             return true;
         }
         let announced = running.exchange.announces_end();
-        self.pool.borrow_mut().end_was_asked(running.lease.server(), announced);
+        // Before that the server has not seen what the request asks for.
+        if running.exchange.execution() == Execution::MayHaveRun {
+            self.pool.borrow_mut().end_was_asked(running.lease.server(), announced);
+        }
         announced || !running.lease.is_used()
     }
 
@@ -84,7 +92,7 @@
     ) -> bool {
         match running.persistence {
             Persistence::KeepAlive if !running.lease.is_used() => {
-                running.lease.end(&running.exchange);
+                running.end();
                 true
             }
             Persistence::KeepAlive => {
@@ -95,7 +103,7 @@
                 if used && self.is_contradicted(&mut running, status, body) {
                     return false;
                 }
-                spawn_local(running.close_after_server());
+                running.end();
                 true
             }
         }
@@ -126,7 +134,7 @@
         if ended {
             running.lease.close();
         } else {
-            running.lease.end(&running.exchange);
+            running.end();
         }
         true
     }
@@ -150,6 +158,17 @@
 }
 
 impl Running {
+    /// The exchange is over: the connection rests, if it may be used again, or is closed.
+    ///
+    /// One whose end was asked for never rests, whatever the server says of it by now: a request behind that one could
+    /// be dropped, and a copy of the answer could announce the end that was asked for.
+    pub(in crate::upstream) fn end(self) {
+        match self.persistence {
+            Persistence::KeepAlive => self.lease.end(&self.exchange),
+            Persistence::Close => drop(spawn_local(self.close_after_server())),
+        }
+    }
+
     /// Reads to the end of an answer that belongs to an earlier request; the head of the one behind it.
     async fn next_head(&mut self) -> Result<ResponseHead, Broken> {
         let mut left = WHOLE;
--- a/crates/millethook-engine/src/upstream/streaming.rs
+++ b/crates/millethook-engine/src/upstream/streaming.rs
@@ -60,8 +60,7 @@
                 Some(Ok(piece))
             }
             Ok(Event::End) => {
-                let running = self.running.take()?;
-                running.lease.end(&running.exchange);
+                self.running.take()?.end();
                 None
             }
             Ok(Event::Head(_) | Event::Data(_)) | Err(_) => {
--- a/crates/plankvale/tests/conformance/main.rs
+++ b/crates/plankvale/tests/conformance/main.rs
@@ -3,6 +3,7 @@
 
 mod form;
 
+mod asked_ends;
 mod bodies;
 mod copies;
 mod ends;
