--- a/crates/millethook-connect/src/facts.rs
+++ b/crates/millethook-connect/src/facts.rs
@@ -69,6 +69,8 @@
     proven: bool,
     /// Its last answer to a request that asked for the connection's end announced that end.
     announces_end: bool,
+    /// When an answer to such a request came last that did not. Some servers announce ends with some answers only.
+    unannounced: Option<Instant>,
     /// How often in a row a connection was silent for as long as a server that nothing is known of is
     /// given.
     silent: u32,
@@ -127,14 +129,18 @@
         is_recent(self.stray.map(|(_, seen)| seen), now)
     }
 
-    /// Whether the server announces the end of a connection where a request asks for it.
-    pub fn announces_end(&self) -> bool {
-        self.announces_end
+    /// Whether the server announces the end of a connection where a request asks for it, and has done so each time of
+    /// late.
+    pub fn announces_end(&self, now: Instant) -> bool {
+        self.announces_end && !is_recent(self.unannounced, now)
     }
 
     /// A request that asked for its connection's end was answered; `announced`: the answer's head says that it ends.
-    pub fn end_was_asked(&mut self, announced: bool) {
+    pub fn end_was_asked(&mut self, announced: bool, now: Instant) {
         self.announces_end = announced;
+        if !announced {
+            self.unannounced = Some(now);
+        }
     }
 
     fn stray_lag(&self, now: Instant) -> Option<Duration> {
--- a/crates/millethook-connect/src/facts/tests.rs
+++ b/crates/millethook-connect/src/facts/tests.rs
@@ -110,6 +110,19 @@
     assert_eq!(strays.trial(Some(MS), true, later), None);
 }
 
+/// Guards against unsafe requests that fail again and again at a server which announces ends with some answers only.
+#[test]
+fn an_announced_end_counts_again_a_minute_after_one_that_was_missing() {
+    let (mut facts, now) = (Facts::default(), Instant::now());
+    assert!(!facts.announces_end(now), "nothing is known");
+    facts.end_was_asked(true, now);
+    assert!(facts.announces_end(now));
+    facts.end_was_asked(false, now);
+    facts.end_was_asked(true, now + MS);
+    assert!(!facts.announces_end(now + MS));
+    assert!(facts.announces_end(now + CAUGHT_FOR));
+}
+
 /// Guards against another request's answer from a server of which nothing is known yet, or that has sent stray bytes.
 #[test]
 fn a_server_has_to_prove_itself_whatever_the_request() {
--- a/crates/millethook-connect/src/pool.rs
+++ b/crates/millethook-connect/src/pool.rs
@@ -231,14 +231,14 @@
 
     /// Whether the server announces the end of a connection where a request asks for it, as its last answer to such a
     /// request showed.
-    pub fn announces_end(&self, key: K) -> bool {
-        self.servers.get(&key).is_some_and(|server| server.facts.announces_end())
+    pub fn announces_end(&self, key: K, now: Instant) -> bool {
+        self.servers.get(&key).is_some_and(|server| server.facts.announces_end(now))
     }
 
     /// A request that asked for its connection's end was answered; `announced`: the answer's head says that it ends.
-    pub fn end_was_asked(&mut self, key: K, announced: bool) {
+    pub fn end_was_asked(&mut self, key: K, announced: bool, now: Instant) {
         if let Some(server) = self.servers.get_mut(&key) {
-            server.facts.end_was_asked(announced);
+            server.facts.end_was_asked(announced, now);
         }
     }
 
--- a/crates/millethook-connect/src/pool/server.rs
+++ b/crates/millethook-connect/src/pool/server.rs
@@ -53,7 +53,7 @@
     /// Whether a connection that has carried an answer may carry a request.
     pub(super) fn may_reuse(&self, reuse: Reuse, now: Instant) -> bool {
         !self.answers_need_proof(reuse, now)
-            || self.facts.announces_end()
+            || self.facts.announces_end(now)
             || mutant::is(Mutant::ReusedUnproven)
     }
 
--- a/crates/millethook-connect/tests/common/world.rs
+++ b/crates/millethook-connect/tests/common/world.rs
@@ -147,7 +147,7 @@
             }
             look
         });
-        self.pool.end_was_asked(server, server == ANNOUNCES_END);
+        self.pool.end_was_asked(server, server == ANNOUNCES_END, now);
         self.ended += (before - self.record.borrow().len()) as u64;
         (self.owner(server).stray, self.owner(server).strayed) = (stray, strayed);
         match found {
--- a/crates/millethook-engine/src/upstream/attempt/mod.rs
+++ b/crates/millethook-engine/src/upstream/attempt/mod.rs
@@ -197,9 +197,9 @@
     /// What a request on a connection to `server` says of that connection. Where answers have to be proven, all but the
     /// first request on a connection ask for its end, and so does each one to a server that is not known to announce it.
     fn persistence(&self, server: ServerId, used: bool) -> Persistence {
-        let pool = self.pool.borrow();
-        let proven = pool.answers_need_proof(server, Instant::now());
-        if proven && (used || !pool.announces_end(server)) {
+        let (pool, now) = (self.pool.borrow(), Instant::now());
+        let proven = pool.answers_need_proof(server, now);
+        if proven && (used || !pool.announces_end(server, now)) {
             Persistence::Close
         } else {
             Persistence::KeepAlive
@@ -274,8 +274,11 @@
             }
         }
     };
-    match timeout(DISCARD, rest).await {
-        Ok(Some(())) if turned_away => running.lease.close(),
+    let read = timeout(DISCARD, rest).await;
+    // An answer that came ahead of its request is no proof that the server sends nothing unasked.
+    let closes = turned_away && running.exchange.execution() == Execution::MayHaveRun;
+    match read {
+        Ok(Some(())) if closes => running.lease.close(),
         Ok(Some(())) => running.end(),
         Ok(None) | Err(_) => {}
     }
--- a/crates/millethook-engine/src/upstream/attempt/own_answer.rs
+++ b/crates/millethook-engine/src/upstream/attempt/own_answer.rs
@@ -76,7 +76,7 @@
         let announced = running.exchange.announces_end();
         // Before that the server has not seen what the request asks for.
         if running.exchange.execution() == Execution::MayHaveRun {
-            self.pool.borrow_mut().end_was_asked(running.lease.server(), announced);
+            self.pool.borrow_mut().end_was_asked(running.lease.server(), announced, Instant::now());
         }
         announced || !running.lease.is_used()
     }
