--- a/crates/millethook-lab/src/soak/mod.rs
+++ b/crates/millethook-lab/src/soak/mod.rs
@@ -40,6 +40,9 @@
 const MOST_CROWDED: usize = 3;
 const SMALLEST_CROWD: usize = 50;
 
+/// In this share of the timelines one server repeats answers.
+const COPIES_SHARE: f64 = 0.1;
+
 /// A timeline as it is drawn.
 struct Draft {
     random: ChaCha8Rng,
@@ -80,6 +83,8 @@
     draw_troubles(&mut draft);
     draft.random = stream(seed, "soak crowd", 0);
     draw_crowd(&mut draft);
+    draft.random = stream(seed, "soak twice", 0);
+    draw_copies(&mut draft);
     let Draft { mut timeline, .. } = draft;
     timeline.events.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
     timeline.run.about = format!("Soak, seed {seed}");
@@ -118,3 +123,26 @@
     let (kind, amount) = (EventKind::IdleClients, Some(clients as f64));
     draft.push(Event { at_s, kind, who, for_s, amount, ..Event::default() });
 }
+
+/// A server that answers twice, from random numbers of its own, too: its answers come soon, or late, or not at all once
+/// the client has ended its side.
+fn draw_copies(draft: &mut Draft) {
+    if !draft.random.random_bool(COPIES_SHARE) {
+        return;
+    }
+    let at_s = draft.between(FIRST_S, draft.timeline.run.duration_s - TAIL_S);
+    let for_s = draft.lasting(at_s, TAIL_S, LONGEST_S);
+    let ids = Some(vec![draft.random.random_range(0..draft.timeline.servers.count)]);
+    let who = Select { ids, ..Select::default() };
+    let event = Event { at_s, who, for_s, ..Event::default() };
+    let amount = Some(draft.between(0.1, 1.0));
+    draft.push(Event { kind: EventKind::AnswerTwice, amount, ..event.clone() });
+    match draft.random.random_range(0..3) {
+        0 => {}
+        1 => {
+            let amount = Some(draft.between(3.0, 8.0));
+            draft.push(Event { kind: EventKind::Slow, amount, ..event });
+        }
+        _ => draft.push(Event { kind: EventKind::DropWork, ..event }),
+    }
+}
--- a/crates/millethook-lab/src/timeline/event.rs
+++ b/crates/millethook-lab/src/timeline/event.rs
@@ -64,6 +64,10 @@
     Reset,
     /// Servers run `amount` of the requests and reset in the middle of the answer.
     BreakAnswers,
+    /// Servers repeat the answer before on the same connection ahead of `amount` of the answers.
+    AnswerTwice,
+    /// Servers drop the work in hand once its client has ended its side of the connection.
+    DropWork,
     /// Servers turn all requests away.
     Full,
     /// Connections to servers are refused, and open ones reset.
@@ -143,6 +147,8 @@
             | K::Silent
             | K::Reset
             | K::BreakAnswers
+            | K::AnswerTwice
+            | K::DropWork
             | K::Full
             | K::Refuse
             | K::Replace
@@ -166,7 +172,9 @@
     pub fn amount(self) -> Option<(&'static str, f64, f64)> {
         use EventKind as K;
         match self {
-            K::Errors | K::Reset | K::BreakAnswers => Some(("a share of requests", 0.0, 1.0)),
+            K::Errors | K::Reset | K::BreakAnswers | K::AnswerTwice => {
+                Some(("a share of requests", 0.0, 1.0))
+            }
             K::Loss | K::Duplicate | K::Reorder => Some(("a share of datagrams", 0.0, 1.0)),
             K::Throttle => Some(("a factor of time", 1.0, 100.0)),
             K::Slow => Some(("a factor of time", 1.0, 1_000.0)),
--- a/crates/millethook-lab/src/world/conditions.rs
+++ b/crates/millethook-lab/src/world/conditions.rs
@@ -15,6 +15,10 @@
     pub reset: f64,
     /// In the middle of this share of the answers the connection is reset.
     pub breaks: f64,
+    /// Ahead of this share of the answers comes a copy of the one before on the connection.
+    pub twice: f64,
+    /// The work in hand is dropped once its client has ended its side.
+    pub drops_work: bool,
     /// Everything is turned away.
     pub full: bool,
     /// It drains.
@@ -29,6 +33,8 @@
             silent: false,
             reset: 0.0,
             breaks: 0.0,
+            twice: 0.0,
+            drops_work: false,
             full: false,
             draining: false,
         }
@@ -44,6 +50,8 @@
             EventKind::Silent => self.silent = on,
             EventKind::Reset => self.reset = if on { amount } else { 0.0 },
             EventKind::BreakAnswers => self.breaks = if on { amount } else { 0.0 },
+            EventKind::AnswerTwice => self.twice = if on { amount } else { 0.0 },
+            EventKind::DropWork => self.drops_work = on,
             EventKind::Full => self.full = on,
             _ => {}
         }
--- a/crates/millethook-lab/src/world/server.rs
+++ b/crates/millethook-lab/src/world/server.rs
@@ -253,7 +253,13 @@
     /// Serves a connection to its end.
     async fn talk(self: &Arc<Server>, class: usize, wire: &mut Wire) -> io::Result<()> {
         let mut fresh = true;
+        let mut before: Option<String> = None;
         while let Some(request) = wire.request().await? {
+            if let Some(copy) = before.take()
+                && self.answers_twice(&request)
+            {
+                wire.send(copy.as_bytes()).await?;
+            }
             let reply = self.serve(wire, &request, std::mem::take(&mut fresh)).await;
             let Some(reply) = reply else { return Ok(()) };
             let reply = match reply {
@@ -268,10 +274,19 @@
                 sleep(delay).await;
             }
             wire.send(reply.as_bytes()).await?;
+            before = Some(reply);
         }
         Ok(())
     }
 
+    /// Whether the answer before goes out once more, ahead of this request's own.
+    fn answers_twice(&self, request: &Message) -> bool {
+        let share = self.now().twice;
+        let id = request.header("x-correlation-id").and_then(RequestId::parse);
+        let draw = |id: RequestId| stream(self.stage.plan.seed, "twice", id.0).random::<f64>();
+        share > 0.0 && id.is_some_and(|id| draw(id) < share)
+    }
+
     fn report(&self) -> String {
         let (taken, waiting) = self.load();
         format!("X-Backend-Load: inflight={},queue={waiting}\r\n", taken - waiting)
@@ -349,7 +364,18 @@
         stage.ledger.ran(nth, stage.clock.now());
         let age = self.started.map_or(Micros::MAX, |s| stage.clock.now().saturating_sub(s));
         let speed = warmth(&stage.timeline).at(age) / now.slow;
-        sleep(Duration::from_micros((arrival.work as f64 / speed) as u64)).await;
+        let work = sleep(Duration::from_micros((arrival.work as f64 / speed) as u64));
+        if now.drops_work {
+            tokio::select! {
+                () = work => {}
+                () = wire.ended() => {
+                    fate(Fate::Abandoned);
+                    return None;
+                }
+            }
+        } else {
+            work.await;
+        }
         drop(slot);
         let draw = || stream(stage.plan.seed, "fate", id.0).random::<f64>();
         if now.reset > 0.0 && draw() < now.reset {
--- a/crates/millethook-lab/tests/it/soak.rs
+++ b/crates/millethook-lab/tests/it/soak.rs
@@ -136,6 +136,8 @@
         K::CutOneWay,
         K::Load,
         K::IdleClients,
+        K::AnswerTwice,
+        K::DropWork,
     ];
     let drawn: Vec<Event> = (0..300).flat_map(|seed| draw(seed).events).collect();
     for kind in kinds {
