--- a/crates/millethook-lab/tests/processes.rs
+++ b/crates/millethook-lab/tests/processes.rs
@@ -105,6 +105,12 @@
     hold(&["lists-8.toml", "lists-24.toml"]);
 }
 
+/// What callers see: another one's answer, for safe, keyed and unsafe requests alike.
+#[test]
+fn no_client_gets_an_answer_that_a_server_made_for_another_one() {
+    hold(&["answers-twice.toml"]);
+}
+
 /// Seeds whose timelines are short.
 const SOAK_SEEDS: [&str; 2] = ["209", "370"];
 
