--- a/crates/millethook-lab/src/soak/command.rs
+++ b/crates/millethook-lab/src/soak/command.rs
@@ -104,7 +104,7 @@
             eprintln!("--out: {}: {e}", folder.display());
             return Verdict::Wrong;
         }
-        let run = SingleRun { name: "soak", seed, out: folder.as_deref(), daemon: &self.daemon };
+        let run = SingleRun { name: "drawn", seed, out: folder.as_deref(), daemon: &self.daemon };
         let result = run.carry_out(timeline);
         tell(seed, &result);
         result.verdict
