--- a/crates/millethook-handover/src/incumbent.rs
+++ b/crates/millethook-handover/src/incumbent.rs
@@ -1,10 +1,11 @@
-//! The process that holds the seat before this one takes it: whether it lives and still serves.
+//! The process that a new one waits for: whether it lives and still serves.
 
 use std::io;
 use std::os::unix::net::UnixStream;
 use std::path::Path;
 use std::time::Duration;
 
+use crate::seat::line;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::UnixStream as AsyncStream;
 use tokio::time::timeout;
@@ -28,6 +29,12 @@
         Some(Incumbent { stream: AsyncStream::from_std(stream).ok()? })
     }
 
+    /// The process that stands in line for the seat at `path`, or that holds it by now. For one that a later one has
+    /// overtaken in line.
+    pub fn overtaking(path: &Path) -> Option<Incumbent> {
+        Incumbent::at(&line(path)).or_else(|| Incumbent::at(path))
+    }
+
     /// Waits until it has ended, or says nothing.
     pub async fn ended(mut self) {
         while let Ok(Ok(_)) = timeout(SILENCE, self.answer()).await {
--- a/crates/millethook-handover/src/seat.rs
+++ b/crates/millethook-handover/src/seat.rs
@@ -2,9 +2,12 @@
 //!
 //! The seat is a Unix domain socket at a known path. A process takes it by binding a socket under a name
 //! of its own and renaming that over the path, so that there is always exactly one holder to be found.
+//! One that waits for its turn stands beside it, in line, where the holder finds it. It takes the seat only at its turn, so
+//! its death in line hides nobody.
 //! One byte goes with each descriptor: for a connection it is the caller's to say what it means, other descriptors
 //! say what they are ([`crate::request_ids`]).
 
+use std::cell::Cell;
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::TcpStream;
@@ -26,6 +29,8 @@
     path: PathBuf,
     /// The file's number, by which to tell one's own seat from a successor's.
     inode: u64,
+    /// Whether it has ever had the seat: one that is in line has nothing to pass on.
+    had: Cell<bool>,
 }
 
 impl Seat {
@@ -34,6 +39,19 @@
     /// # Errors
     /// The folder cannot be written to, or the path is too long for a socket (107 bytes).
     pub fn take(path: &Path) -> io::Result<Seat> {
+        Seat::at(path, path)
+    }
+
+    /// Stands in line for the seat at `path`, before any other that does. Must be called within a runtime.
+    ///
+    /// # Errors
+    /// As [`Seat::take`].
+    pub fn stand_in_line(path: &Path) -> io::Result<Seat> {
+        Seat::at(path, &line(path))
+    }
+
+    /// Binds a socket and has it found at `place`.
+    fn at(path: &Path, place: &Path) -> io::Result<Seat> {
         let own = path.with_extension(std::process::id().to_string());
         // One that a process of the same number left behind.
         let _ = std::fs::remove_file(&own);
@@ -41,9 +59,12 @@
         let taken = rustix::fs::chmod(&own, rustix::fs::Mode::RUSR | rustix::fs::Mode::WUSR)
             .map_err(io::Error::from)
             .and_then(|()| inode(&own))
-            .and_then(|inode| std::fs::rename(&own, path).map(|()| inode));
+            .and_then(|inode| std::fs::rename(&own, place).map(|()| inode));
         match taken {
-            Ok(inode) => Ok(Seat { listener, path: path.to_owned(), inode }),
+            Ok(inode) => {
+                let had = Cell::new(path == place);
+                Ok(Seat { listener, path: path.to_owned(), inode, had })
+            }
             Err(e) => {
                 let _ = std::fs::remove_file(&own);
                 Err(e)
@@ -63,26 +84,59 @@
         }
     }
 
-    /// The process that holds the seat by now, if it is not this one.
+    /// Takes the seat at this process's turn. False: a later one stands in line by now.
+    ///
+    /// # Errors
+    /// The folder cannot be written to.
+    pub fn take_turn(&self) -> io::Result<bool> {
+        if self.is_at(&self.path) {
+            return Ok(true);
+        }
+        let line = line(&self.path);
+        if !self.is_at(&line) {
+            return Ok(false);
+        }
+        std::fs::rename(&line, &self.path)?;
+        self.had.set(true);
+        Ok(true)
+    }
+
+    /// The process that follows this one: the one in line, or the one that holds the seat by now.
     pub fn successor(&self) -> Option<Successor> {
-        let now = inode(&self.path).ok()?;
-        if now == self.inode {
+        if !self.had.get() {
             return None;
         }
-        let stream = UnixStream::connect(&self.path).ok()?;
+        let others = [line(&self.path), self.path.clone()].into_iter().filter(|at| !self.is_at(at));
+        let stream = others.filter_map(|at| UnixStream::connect(at).ok()).next()?;
         stream.set_nonblocking(true).ok()?;
         Some(Successor { stream })
     }
+
+    fn is_at(&self, place: &Path) -> bool {
+        inode(place).is_ok_and(|now| now == self.inode)
+    }
 }
 
 impl Drop for Seat {
     fn drop(&mut self) {
-        if inode(&self.path).is_ok_and(|now| now == self.inode) {
+        let line = line(&self.path);
+        // Danger: whoever is in line may take the seat between a look at it and its removal. What is left of a process
+        // that has ended lets nobody in.
+        let followed = line.exists() && !self.is_at(&line);
+        if !followed && self.is_at(&self.path) {
             let _ = std::fs::remove_file(&self.path);
         }
+        if self.is_at(&line) {
+            let _ = std::fs::remove_file(line);
+        }
     }
 }
 
+/// Where the process is found that is next in line for the seat at `path`.
+pub(crate) fn line(path: &Path) -> PathBuf {
+    path.with_extension("next")
+}
+
 fn inode(path: &Path) -> io::Result<u64> {
     use std::os::unix::fs::MetadataExt;
     Ok(std::fs::symlink_metadata(path)?.ino())
--- a/crates/plankvale/src/succession.rs
+++ b/crates/plankvale/src/succession.rs
@@ -24,6 +24,8 @@
 pub struct Place {
     /// The seat, from which the next process can be found.
     pub seat: Rc<Seat>,
+    /// Where that is.
+    path: PathBuf,
     /// Who held it before.
     incumbent: Option<Incumbent>,
     /// Whether the process before this one has begun to hand over.
@@ -31,7 +33,7 @@
 }
 
 impl Place {
-    /// Takes the seat of this sidecar, in the folder that its processes share (`TMPDIR`). Without that
+    /// Takes the seat of this sidecar, in the folder that its processes share (`TMPDIR`), or stands in line for it. Without that
     /// folder, or where it cannot be written to, the daemon serves all the same, and drains at its end.
     pub fn take(name: &str) -> Option<Place> {
         let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty())?;
@@ -39,9 +41,14 @@
         let file = format!("plankvale-{:016x}.seat", stable_hash(name.as_bytes()));
         let path = PathBuf::from(folder).join(file);
         let incumbent = Incumbent::at(&path);
-        match Seat::take(&path) {
+        let seat = match incumbent {
+            Some(_) => Seat::stand_in_line(&path),
+            None => Seat::take(&path),
+        };
+        match seat {
             Ok(seat) => {
-                Some(Place { seat: seat.into(), incumbent, begun: watch::Sender::new(false) })
+                let begun = watch::Sender::new(false);
+                Some(Place { seat: seat.into(), path, incumbent, begun })
             }
             Err(e) => {
                 tracing::warn!(
@@ -57,14 +64,24 @@
     /// Goes on with what processes before this one pass on. The future is done once it is this process's turn to take
     /// requests: the one before it has begun to hand over, has ended, or says nothing.
     pub fn succeed(self, ingress: Rc<Ingress>, ids: Rc<OpenIds>) -> impl Future<Output = ()> {
-        let Place { seat, incumbent, begun } = self;
+        let Place { seat, path, mut incumbent, begun } = self;
         let mut turn = begun.subscribe();
-        spawn_local(adopt(seat, ingress, ids, begun));
+        spawn_local(adopt(seat.clone(), ingress, ids, begun));
         async move {
-            let Some(incumbent) = incumbent else { return };
-            tokio::select! {
-                _ = turn.wait_for(|begun| *begun) => {}
-                () = incumbent.ended() => {}
+            while let Some(before) = incumbent {
+                let handed_over = tokio::select! {
+                    _ = turn.wait_for(|begun| *begun) => true,
+                    () = before.ended() => false,
+                };
+                incumbent = match seat.take_turn() {
+                    // One that came later is next, and this one waits for that.
+                    Ok(false) if !handed_over => Incumbent::overtaking(&path),
+                    Ok(_) => None,
+                    Err(e) => {
+                        tracing::warn!(event = "handover_off", "{}: {e}", path.display());
+                        None
+                    }
+                };
             }
         }
     }
--- a/crates/plankvale/tests/sidecar/upgrade.rs
+++ b/crates/plankvale/tests/sidecar/upgrade.rs
@@ -8,10 +8,10 @@
 use serde_json::{Value, json};
 
 /// A folder that processes share, and that goes with the test.
-struct Folder(PathBuf);
+pub(crate) struct Folder(pub(crate) PathBuf);
 
 impl Folder {
-    fn new(name: &str) -> Folder {
+    pub(crate) fn new(name: &str) -> Folder {
         let folder = std::env::temp_dir().join(format!("plankvale-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         Folder(folder)
@@ -24,7 +24,7 @@
     }
 }
 
-fn operated(agent: &Agent, listener: &TcpListener) -> Value {
+pub(crate) fn operated(agent: &Agent, listener: &TcpListener) -> Value {
     let at = listener.local_addr().unwrap().to_string();
     config(agent.address, |c| {
         c["admin"] = json!("127.0.0.1:0");
@@ -161,6 +161,58 @@
     assert_eq!(last.ask(safe()).status(), 200);
 }
 
+/// Guards against the same where a process died while it waited for its turn: the next one looks for whoever serves.
+#[test]
+fn a_process_that_died_in_line_does_not_hide_the_one_that_serves() {
+    let agent = Agent::start(hosts(&[Server::named("a")]));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let folder = Folder::new("line");
+    let config = operated(&agent, &listener);
+    let mut old = Sidecar::launch_beside(&config, &listener, &folder.0);
+    within("the old one is ready", || old.operate("GET /v1/readyz").status() == 200);
+    let mut died = Sidecar::launch_beside(&config, &listener, &folder.0);
+    within("the one that dies is ready", || died.operate("GET /v1/readyz").status() == 200);
+    died.child.kill().expect("killed");
+    died.child.wait().expect("ended");
+    let new = Sidecar::launch_beside(&config, &listener, &folder.0);
+    within("the new one is ready", || new.operate("GET /v1/readyz").status() == 200);
+    let mut client = old.client();
+    assert_eq!(client.message_to(safe()).expect("an answer").status(), 200);
+    for _ in 0..50 {
+        assert_eq!(old.ask(safe()).status(), 200);
+    }
+    assert_eq!(old.figure("sidecar.succeeded.look"), 51, "one process takes requests at a time");
+    assert_eq!(new.figure("sidecar.succeeded.look"), 0);
+    old.terminate();
+    assert_eq!(old.exit_code(), Some(0));
+    assert_eq!(client.message_to(safe()).expect("still connected").status(), 200);
+    assert_eq!(new.figure("sidecar.succeeded.look"), 1);
+}
+
+/// Guards against the same where two processes wait: the later one is next, and the other one waits for that.
+#[test]
+fn of_two_processes_in_line_one_takes_requests() {
+    let agent = Agent::start(hosts(&[Server::named("a")]));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let folder = Folder::new("two");
+    let config = operated(&agent, &listener);
+    let mut old = Sidecar::launch_beside(&config, &listener, &folder.0);
+    within("the old one is ready", || old.operate("GET /v1/readyz").status() == 200);
+    let waits = Sidecar::launch_beside(&config, &listener, &folder.0);
+    within("the next one is ready", || waits.operate("GET /v1/readyz").status() == 200);
+    let mut new = Sidecar::launch_beside(&config, &listener, &folder.0);
+    within("the last one is ready", || new.operate("GET /v1/readyz").status() == 200);
+    old.terminate();
+    assert_eq!(old.exit_code(), Some(0));
+    for _ in 0..50 {
+        assert_eq!(new.ask(safe()).status(), 200);
+    }
+    assert_eq!(new.figure("sidecar.succeeded.look"), 50);
+    assert_eq!(waits.figure("sidecar.succeeded.look"), 0);
+    new.child.kill().expect("killed");
+    assert_eq!(waits.ask(safe()).status(), 200);
+}
+
 /// Guards against the same where the old process reads the id only once it has begun to hand over.
 #[test]
 fn an_id_that_the_process_before_reads_late_is_taken_once() {
