--- a/crates/millethook-engine/src/driver/attempts.rs
+++ b/crates/millethook-engine/src/driver/attempts.rs
@@ -127,6 +127,10 @@
         drop(spec);
         match reached {
             AttemptOutcome::End { outcome, report, answer } => {
+                if outcome != Outcome::Served {
+                    // Without this, what failed while this process stood still is repeated by the list from before.
+                    self.current_list().await;
+                }
                 self.over(id, n, server, outcome, latency, report, answer);
             }
             AttemptOutcome::Streaming(long) => {
--- a/crates/millethook-engine/src/driver/membership.rs
+++ b/crates/millethook-engine/src/driver/membership.rs
@@ -127,7 +127,8 @@
         self.list_clock.clone()
     }
 
-    /// Waits until the list is as new as it can be, for 0.1 s at most. To be awaited before [`Driver::request`].
+    /// Waits until the list is as new as it can be, for 0.1 s at most. To be awaited before [`Driver::request`],
+    /// and before what may have a request repeated.
     ///
     /// Without this, requests that came while this process stood still go to servers that drain by now, or that have
     /// just started anew.
--- a/crates/plankvale/tests/sidecar/pauses.rs
+++ b/crates/plankvale/tests/sidecar/pauses.rs
@@ -3,10 +3,10 @@
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use millethook_testkit::*;
-use serde_json::json;
+use serde_json::{Value, json};
 
 /// Requests that are out when the process stops, two for each server.
 const OUT: usize = 12;
@@ -23,6 +23,10 @@
         self.0.1.notify_all();
     }
 
+    fn is_open(&self) -> bool {
+        *self.0.0.lock().unwrap()
+    }
+
     fn wait(&self) {
         let opened = self.0.0.lock().unwrap();
         drop(self.0.1.wait_while(opened, |opened| !*opened).unwrap());
@@ -111,3 +115,111 @@
     let wrong = stage.seen()[before..].iter().filter(|seen| seen.server < DRAINING).count();
     assert_eq!(wrong, 0, "of {AFTER} requests so many went to servers that drain");
 }
+
+/// What a server bears that has just started, of `expected` requests by its share: three standard deviations more, and 3.
+fn bears(expected: f64) -> usize {
+    (expected + 3.0 * expected.sqrt() + 3.0) as usize
+}
+
+/// The share of a warm server's requests that a cold one gets.
+const COLD_SHARE: f64 = 0.05;
+
+/// So cold for so long that the test's own time does not matter.
+fn with_cold_servers(agent: &Agent) -> Value {
+    config(agent.address, |c| {
+        c["settings"]["rules"]["cold"] = json!(3_600_000_000_u64);
+        c["settings"]["rules"]["coldShare"] = json!(COLD_SHARE);
+        for class in c["settings"]["classes"].as_array_mut().into_iter().flatten() {
+            class["deadline"] = json!(20_000_000);
+        }
+    })
+}
+
+/// The same hosts, the first of which has just started anew.
+fn first_started_anew(mut hosts: Vec<Value>) -> Vec<Value> {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    hosts[0]["born_ms"] = json!(now.as_millis() as u64);
+    hosts
+}
+
+/// Guards against requests that came in a standstill and push a server over that has started anew meanwhile: by the list
+/// from before it was warm.
+#[test]
+fn what_came_in_a_standstill_spares_a_server_that_started_anew() {
+    let stage = Stage::new(SERVERS, |_| Fault::Serve("fine".into()));
+    let agent = Agent::start(stage.hosts());
+    let sidecar = Sidecar::start(&with_cold_servers(&agent));
+    for _ in 0..AFTER {
+        assert_eq!(sidecar.ask(safe()).status(), 200);
+    }
+    let before = stage.count();
+    sidecar.stop();
+    thread::sleep(WATCH_ENDS);
+    agent.change(first_started_anew(stage.hosts()));
+    thread::scope(|scope| {
+        let asked: Vec<_> =
+            (0..AFTER).map(|_| scope.spawn(|| sidecar.ask(safe()).status())).collect();
+        thread::sleep(GRACE);
+        sidecar.go_on();
+        for asked in asked {
+            let status = asked.join().unwrap();
+            assert!(matches!(status, 200 | 503), "{status}");
+        }
+    });
+    let cold = stage.seen()[before..].iter().filter(|seen| seen.server == 0).count();
+    let most = bears(AFTER as f64 * COLD_SHARE / (SERVERS as f64 - 1.0 + COLD_SHARE));
+    assert!(cold <= most, "{cold} of {AFTER} requests went to a cold server, it bears {most}");
+}
+
+/// Requests that are out as the process stops.
+const DECIDED: usize = 60;
+
+/// Guards against the same by requests that were decided before the standstill: they were turned away in it, and go to
+/// another server as it ends.
+#[test]
+fn what_is_repeated_behind_a_standstill_spares_a_server_that_started_anew() {
+    let gate = Gate::default();
+    let held = gate.clone();
+    let stage = Stage::new(SERVERS, move |attempt| {
+        let decided = attempt.line.contains("/order") && !held.is_open();
+        if decided {
+            held.wait();
+        }
+        if decided && attempt.server != 0 { Fault::TurnAway } else { Fault::Serve("fine".into()) }
+    });
+    let agent = Agent::start(stage.hosts());
+    let sidecar = Sidecar::start(&with_cold_servers(&agent));
+    for _ in 0..AFTER {
+        assert_eq!(sidecar.ask(safe()).status(), 200);
+    }
+    let before = stage.count();
+    // Their clients wait for longer than the process stands still.
+    let patient = |_| unsafe_with("x").replace("Left-Ms: 900", "Left-Ms: 15000");
+    let orders: Vec<String> = (0..DECIDED).map(patient).collect();
+    let (cold, repeated) = thread::scope(|scope| {
+        let asks = &sidecar;
+        let asked: Vec<_> =
+            orders.iter().map(|order| scope.spawn(move || asks.ask(order).status())).collect();
+        // Beside load some may be refused.
+        let out = || stage.count() - before;
+        let refused = || asked.iter().filter(|asked| asked.is_finished()).count();
+        within("all are out", || out() + refused() >= DECIDED);
+        sidecar.stop();
+        let out = out();
+        assert!(out > DECIDED / 2, "{out} are out");
+        gate.open();
+        thread::sleep(WATCH_ENDS);
+        agent.change(first_started_anew(stage.hosts()));
+        thread::sleep(GRACE);
+        sidecar.go_on();
+        for asked in asked {
+            let status = asked.join().unwrap();
+            assert!(matches!(status, 200 | 503), "{status}");
+        }
+        let seen = stage.seen();
+        let repeats = &seen[before + out..];
+        (repeats.iter().filter(|seen| seen.server == 0).count(), repeats.len())
+    });
+    let most = bears(repeated as f64 * COLD_SHARE / (SERVERS as f64 - 1.0 + COLD_SHARE));
+    assert!(cold <= most, "{cold} of {repeated} repeats went to a cold server, it bears {most}");
+}
