--- a/crates/plankvale/tests/sidecar/main.rs
+++ b/crates/plankvale/tests/sidecar/main.rs
@@ -17,3 +17,4 @@
 mod rough;
 mod service;
 mod upgrade;
+mod upgrade_limits;
