Tests: settings price handshakes as the platform's do, conformance is played at either price

Need: what a connection is used for will follow the price of a handshake in the settings. Those of the testkit and of the lab, which stand for the platform's, had none.

Change: both have that price. The conformance suite plays each scenario in both forms without a price, under the names and with the settings that it had (in_both_forms), and once more with it (where_handshakes_cost). Scenarios that name `reuse` themselves are played once. Three scenarios take for granted that connections are used for any number of requests, and ask for that by its key now, their checks as they were: a_key_cannot_be_named_away asserts that no Connection field reaches a server, a_stale_copy_is_not_the_next_answer and the_server_ignores_connection_close demand that copies are sent.

--- a/crates/millethook-lab/src/world/daemon.rs
+++ b/crates/millethook-lab/src/world/daemon.rs
@@ -15,6 +15,9 @@
 
 use crate::timeline::{Effect, Group, Timeline};
 
+/// The price of a handshake in the platform's settings, for each first attempt.
+const HANDSHAKE_PRICE: f64 = 0.08;
+
 /// How daemons are started.
 #[derive(Clone, Debug)]
 pub struct Launch {
@@ -77,7 +80,7 @@
                 "maxRetryAfter": 2_000_000, "probing": false, "retryAfter": true,
                 "streamsPerConn": 1,
             },
-            "me": sidecar, "prices": {}, "report": {"columns": ["q", "rif"], "how": "piggyback"},
+            "me": sidecar, "prices": {"handshake": HANDSHAKE_PRICE}, "report": {"columns": ["q", "rif"], "how": "piggyback"},
             "rules": {
                 "answerSlack": us(r.answer_slack_ms), "cold": us(timeline.servers.cold_s * 1e3),
                 "coldShare": timeline.servers.cold_share, "fallMultiple": r.fall_multiple,
--- a/crates/millethook-testkit/src/daemon.rs
+++ b/crates/millethook-testkit/src/daemon.rs
@@ -15,10 +15,14 @@
 use crate::violations::Checked;
 use crate::{Agent, Conn, Message, Server, hosts, next, safe, settings_json, within};
 
+/// The price of a handshake in the platform's settings, for each first attempt.
+const HANDSHAKE_PRICE: f64 = 0.08;
+
 /// A configuration for a sidecar of these peers.
 pub fn config(discovery: SocketAddr, change: impl FnOnce(&mut Value)) -> Value {
     let mut settings = settings_json();
     settings["kinds"] = json!(["std"]);
+    settings["prices"] = json!({"handshake": HANDSHAKE_PRICE});
     settings["limits"]["connectTimeout"] = json!(1_000_000);
     settings["tenants"] = json!([{"name": "acme", "quotaPerS": 1000.0, "share": 1.0}]);
     let mut config = json!({
--- a/crates/plankvale/tests/conformance/asked_ends.rs
+++ b/crates/plankvale/tests/conformance/asked_ends.rs
@@ -6,8 +6,7 @@
 
 use millethook_testkit::*;
 
-use crate::form::{Ask, End, Form, in_both_forms, served};
-use crate::stale_copies::PROVEN;
+use crate::form::{Ask, End, Form, PROVEN, in_both_forms, served};
 
 in_both_forms!(
     a_connection_whose_end_was_asked_for_carries_no_other_request,
--- a/crates/plankvale/tests/conformance/bodies.rs
+++ b/crates/plankvale/tests/conformance/bodies.rs
@@ -2,9 +2,9 @@
 
 use millethook_testkit::*;
 
-use crate::form::{Ask, End, Form, Record, asked, in_both_forms, start};
+use crate::form::{Ask, End, Form, Record, asked, at_either_price, start};
 
-in_both_forms!(
+at_either_price!(
     any_bytes_pass_both_ways,
     what_belongs_to_one_hop_stays_there,
     a_long_answer_is_passed_on_whole,
--- a/crates/plankvale/tests/conformance/copies.rs
+++ b/crates/plankvale/tests/conformance/copies.rs
@@ -7,9 +7,9 @@
 
 use millethook_testkit::*;
 
-use crate::form::{Ask, End, Form, in_both_forms};
+use crate::form::{Ask, End, Form, at_either_price};
 
-in_both_forms!(
+at_either_price!(
     a_copy_that_comes_behind_the_whole_request_is_not_its_answer,
     after_one_copy_the_next_requests_get_their_own_answers,
     a_refusal_that_comes_twice_makes_no_other_request_run_twice,
--- a/crates/plankvale/tests/conformance/ends.rs
+++ b/crates/plankvale/tests/conformance/ends.rs
@@ -7,9 +7,9 @@
 use millethook_testkit::*;
 use serde_json::json;
 
-use crate::form::{Ask, End, Form, REFUSED, Record, asked, in_both_forms, served, start};
+use crate::form::{Ask, End, Form, REFUSED, Record, asked, at_either_price, served, start};
 
-in_both_forms!(
+at_either_price!(
     silence_ends_with_the_clients_time,
     no_time_is_no_attempt,
     servers_are_told_what_time_is_left,
--- a/crates/plankvale/tests/conformance/form.rs
+++ b/crates/plankvale/tests/conformance/form.rs
@@ -272,20 +272,84 @@
     asks.into_iter().map(|ask| form.ask(ask)).collect()
 }
 
-/// A test of each scenario: it is played in both forms, and tells the same of both.
+/// A form whose settings put no price on handshakes.
+pub struct Unpriced<F>(F);
+
+impl<F: Form> Unpriced<F> {
+    fn without_price(config: &Value) -> Value {
+        let mut config = config.clone();
+        if let Some(prices) = config["settings"]["prices"].as_object_mut() {
+            prices.remove("handshake");
+        }
+        config
+    }
+}
+
+impl<F: Form> Form for Unpriced<F> {
+    fn start(config: &Value) -> Unpriced<F> {
+        Unpriced(F::start(&Self::without_price(config)))
+    }
+
+    fn start_with(config: &Value, product: &str) -> Unpriced<F> {
+        Unpriced(F::start_with(&Self::without_price(config), product))
+    }
+
+    fn ask(&self, ask: Ask) -> End {
+        self.0.ask(ask)
+    }
+
+    fn end(&self) {
+        self.0.end();
+    }
+}
+
+/// The product's file of a deployment that has answers proven.
+pub const PROVEN: &str = "[connections]\nreuse = \"proven\"\n";
+/// That of one whose connections are used for any number of requests.
+pub const UNLIMITED: &str = "[connections]\nreuse = \"unlimited\"\n";
+
+/// A test of each scenario: it is played in both forms, and tells the same of both. Settings put no price on handshakes.
 macro_rules! in_both_forms {
-    ($($(#[$doc:meta])* $name:ident),* $(,)?) => {
+    ($($name:ident),* $(,)?) => {
         mod in_both_forms {
+            use crate::form::{Daemon, Library, Unpriced, alike};
             $(
-                $(#[$doc])*
                 #[test]
                 fn $name() {
-                    let daemon = super::$name::<crate::form::Daemon>();
-                    let library = super::$name::<crate::form::Library>();
-                    assert_eq!(daemon, library, "the daemon's record and the library's");
+                    alike(super::$name::<Unpriced<Daemon>>, super::$name::<Unpriced<Library>>);
                 }
             )*
         }
     };
 }
 pub(crate) use in_both_forms;
+
+/// The same where settings price a handshake, as the platform's do.
+macro_rules! where_handshakes_cost {
+    ($($name:ident),* $(,)?) => {
+        mod where_handshakes_cost {
+            use crate::form::{Daemon, Library, alike};
+            $(
+                #[test]
+                fn $name() {
+                    alike(super::$name::<Daemon>, super::$name::<Library>);
+                }
+            )*
+        }
+    };
+}
+pub(crate) use where_handshakes_cost;
+
+/// Both.
+macro_rules! at_either_price {
+    ($($name:ident),* $(,)?) => {
+        crate::form::in_both_forms!($($name),*);
+        crate::form::where_handshakes_cost!($($name),*);
+    };
+}
+pub(crate) use at_either_price;
+
+/// Plays a scenario in both forms.
+pub fn alike<R: PartialEq + std::fmt::Debug>(daemon: fn() -> R, library: fn() -> R) {
+    assert_eq!(daemon(), library(), "the daemon's record and the library's");
+}
--- a/crates/plankvale/tests/conformance/invalid.rs
+++ b/crates/plankvale/tests/conformance/invalid.rs
@@ -2,9 +2,9 @@
 
 use millethook_testkit::*;
 
-use crate::form::{Ask, End, Form, Record, asked, in_both_forms, served, start};
+use crate::form::{Ask, End, Form, Record, asked, at_either_price, served, start};
 
-in_both_forms!(
+at_either_price!(
     what_makes_no_sense_goes_nowhere,
     identity_is_single,
     a_plain_identity_is_taken,
--- a/crates/plankvale/tests/conformance/lists.rs
+++ b/crates/plankvale/tests/conformance/lists.rs
@@ -5,9 +5,9 @@
 use millethook_testkit::*;
 use serde_json::json;
 
-use crate::form::{Ask, End, Form, Record, in_both_forms, served, start};
+use crate::form::{Ask, End, Form, Record, at_either_price, served, start};
 
-in_both_forms!(
+at_either_price!(
     a_server_that_leaves_gets_nothing_new,
     a_server_may_change_its_address,
     a_new_server_is_used,
--- a/crates/plankvale/tests/conformance/outcomes.rs
+++ b/crates/plankvale/tests/conformance/outcomes.rs
@@ -7,9 +7,11 @@
 use millethook_testkit::*;
 use serde_json::json;
 
-use crate::form::{Ask, End, Form, REFUSED, Record, asked, in_both_forms, served, start};
+use crate::form::{
+    Ask, End, Form, REFUSED, Record, UNLIMITED, asked, at_either_price, served, start,
+};
 
-in_both_forms!(
+at_either_price!(
     every_class_is_served,
     a_safe_request_is_tried_again,
     an_unsafe_request_that_may_have_run_is_not,
@@ -64,9 +66,12 @@
     let named = "idempotency-key, x-correlation-id, x-account, host, x-of-this-hop";
     let ask = Ask::keyed().with("connection", named).with("x-of-this-hop", "1");
     let stage = first(Fault::Error);
-    let (form, _agent) = start::<F>(&stage, |c| {
+    let agent = Agent::start(stage.hosts());
+    let settings = config(agent.address, |c| {
         c["settings"]["classes"][1]["dedupScope"] = json!("all");
     });
+    // Where answers are proven, requests have a field of this name that is of this hop's own.
+    let form = F::start_with(&settings, UNLIMITED);
     let record = Record::anywhere(vec![form.ask(ask)], &stage);
     assert_eq!((record.ends.as_slice(), record.attempts()), (&[served("fine")][..], 2));
     for attempt in stage.seen() {
@@ -205,7 +210,8 @@
     };
     let servers: Vec<Server> = (0..24).map(start).collect();
     let agent = Agent::start(hosts(&servers));
-    let form = F::start(&config(agent.address, |_| {}));
+    // Where answers are proven, these servers send no copy, and nothing would be shown.
+    let form = F::start_with(&config(agent.address, |_| {}), UNLIMITED);
     let ask = |n: usize| {
         std::thread::sleep(Duration::from_millis(10));
         form.ask(Ask::at_most_once().body(format!("request {n}").into()))
--- a/crates/plankvale/tests/conformance/stale_copies.rs
+++ b/crates/plankvale/tests/conformance/stale_copies.rs
@@ -13,10 +13,9 @@
 use millethook_testkit::*;
 use serde_json::json;
 
-use crate::form::{Ask, End, Form, in_both_forms, served};
-
-/// The product's file of a deployment that has answers proven.
-pub const PROVEN: &str = "[connections]\nreuse = \"proven\"\n";
+use crate::form::{
+    Ask, End, Form, PROVEN, UNLIMITED, in_both_forms, served, where_handshakes_cost,
+};
 
 in_both_forms!(
     proven_the_true_answer_comes_soon_after_the_copy,
@@ -37,6 +36,16 @@
     the_server_ignores_connection_close,
 );
 
+where_handshakes_cost!(
+    the_true_answer_comes_soon_after_the_copy,
+    the_true_answer_comes_long_after_the_copy,
+    the_server_drops_its_work_once_its_client_has_ended,
+    the_copy_comes_late,
+    an_unsafe_request_gets_no_copy,
+    a_keyed_request_gets_no_copy,
+    a_request_with_little_time_left_gets_no_copy,
+);
+
 /// The server is well for so many requests, over all connections.
 const WELL: usize = 20;
 /// How many requests clients make after that, one after another.
@@ -294,7 +303,8 @@
 
 /// Guards against a copy that is served by a server that neither says that it closes nor does.
 fn the_server_ignores_connection_close<F: Form>() {
-    safe_ones::<F>(Script { closes: false, ..SOON }, "", Ask::safe);
+    // Where answers are proven, such a server sends no copy, and nothing would be shown.
+    safe_ones::<F>(Script { closes: false, ..SOON }, UNLIMITED, Ask::safe);
 }
 
 /// The same where answers are proven.
