--- a/crates/millethook-bench/src/contestant/library.rs
+++ b/crates/millethook-bench/src/contestant/library.rs
@@ -7,7 +7,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Either, Empty, Full};
 use hyper::body::Incoming;
-use millethook::{ClassConfig, Error, FleetConfig, RequestMeta};
+use millethook::{ClassConfig, Error, FleetConfig, RequestMeta, Reuse};
 
 use super::proxy::{Answer, Proxy, status};
 use super::{AIM, DEADLINE};
@@ -41,5 +41,7 @@
 /// It makes no sense.
 pub fn library(name: &str, discovery: SocketAddr) -> Result<FleetConfig, Fault> {
     let class = ClassConfig::safe("look", AIM, DEADLINE);
-    Ok(FleetConfig::builder(name).discovery(discovery).class(class).open(4096).build()?)
+    // The clients that it is compared with use connections for any number of requests.
+    let config = FleetConfig::builder(name).discovery(discovery).class(class).open(4096);
+    Ok(config.reuse(Reuse::Unlimited).build()?)
 }
--- a/crates/millethook-bench/src/cost.rs
+++ b/crates/millethook-bench/src/cost.rs
@@ -15,7 +15,7 @@
 use http_body_util::{BodyExt, Empty};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
-use millethook::{ClassConfig, FleetConfig, RequestMeta};
+use millethook::{ClassConfig, FleetConfig, RequestMeta, Reuse};
 use tokio::task::{LocalSet, spawn_local};
 
 use crate::contestant::{Contestant, DEADLINE, Running, headers};
@@ -161,6 +161,7 @@
                 // No answer is late here.
                 let class = ClassConfig::safe("look", DEADLINE * 4, DEADLINE * 5);
                 let mut config = FleetConfig::builder("cost").class(class).open(4096);
+                config = config.reuse(Reuse::Unlimited);
                 for (n, at) in servers.iter().enumerate() {
                     config = config.server(&format!("s{n}"), *at);
                 }
--- a/crates/millethook-bench/src/memory.rs
+++ b/crates/millethook-bench/src/memory.rs
@@ -14,7 +14,7 @@
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use millethook::{ClassConfig, Fleet, FleetConfig, RequestMeta};
+use millethook::{ClassConfig, Fleet, FleetConfig, RequestMeta, Reuse};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::task::{LocalSet, spawn_local};
@@ -93,7 +93,7 @@
     for (i, at) in servers.split(',').enumerate() {
         config = config.server(&format!("s{i}"), at.parse()?);
     }
-    let config = config.connections_per_server(n);
+    let config = config.connections_per_server(n).reuse(Reuse::Unlimited);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(async {
         let fleet = Fleet::open(config.build()?)?;
