Connections: answers are proven by default where the settings put no price on a handshake

What callers saw: a server that was well and then answers twice has the copy of an answer served to the next caller on the connection; one single copy can leave the connection one answer behind, 60 of 60 callers after it. Where nothing was said of `reuse`, that was so for everybody.

Cause: an answer does not name its request. The proof that needs no time to be guessed (two requests a connection, the second asks for its end, only an answer that announces the end is its own; a connection for each request where a server announces none) was there and had to be asked for, whether or not a handshake costs the deployment anything.

Change: where neither the product's file nor code names `reuse`, `settings.prices.handshake` decides, above 0 `unlimited`, else `proven`. `reuse` is no bound any more but stands beside the bounds, as new settings (SIGHUP, a document) change it for open connections, too.

Why it works: a new connection has no earlier answer, and none on a used one has announced its end.

--- a/crates/millethook-connect/src/pool.rs
+++ b/crates/millethook-connect/src/pool.rs
@@ -40,14 +40,22 @@
 pub struct Pool<K, C> {
     servers: FxHashMap<K, Server<C>>,
     limits: Limits,
+    reuse: Reuse,
     resting: usize,
     ended: Ended,
 }
 
 impl<K: Copy + Eq + Hash, C> Pool<K, C> {
     /// A pool without connections.
-    pub fn new(limits: Limits) -> Pool<K, C> {
-        Pool { servers: FxHashMap::default(), limits, resting: 0, ended: Ended::default() }
+    pub fn new(limits: Limits, reuse: Reuse) -> Pool<K, C> {
+        let servers = FxHashMap::default();
+        Pool { servers, limits, reuse, resting: 0, ended: Ended::default() }
+    }
+
+    /// From now on connections are used for so many requests. Those that are open follow: no answer on them has announced
+    /// their end.
+    pub fn set_reuse(&mut self, reuse: Reuse) {
+        self.reuse = reuse;
     }
 
     /// A connection for a request: the one that came to rest last of those that are out of quarantine, so that
@@ -63,7 +71,7 @@
         let retire = server.facts.retire_after(self.limits.idle, now);
         let mut at = server.resting.len();
         while at > 0 {
-            if !server.may_reuse(self.limits.reuse, now) {
+            if !server.may_reuse(self.reuse, now) {
                 self.resting -= server.resting.len();
                 self.ended.given_up += server.resting.len() as u64;
                 server.resting.clear();
@@ -148,7 +156,7 @@
     pub fn release(&mut self, key: K, connection: C, now: Instant) {
         let Some(server) = self.servers.get_mut(&key) else { return };
         server.in_use = server.in_use.saturating_sub(1);
-        let kept = !server.gone && server.may_reuse(self.limits.reuse, now);
+        let kept = !server.gone && server.may_reuse(self.reuse, now);
         if kept || mutant::is(Mutant::ReleasedToGone) {
             let quarantined_until = now + server.facts.quarantine(now);
             server.resting.push_back(IdleConnection { connection, since: now, quarantined_until });
@@ -226,7 +234,7 @@
     /// bytes lately.
     pub fn answers_need_proof(&self, key: K, now: Instant) -> bool {
         let server = self.servers.get(&key);
-        server.is_some_and(|server| server.answers_need_proof(self.limits.reuse, now))
+        server.is_some_and(|server| server.answers_need_proof(self.reuse, now))
     }
 
     /// Whether the server announces the end of a connection where a request asks for it, as its last answer to such a
--- a/crates/millethook-connect/src/pool/limits.rs
+++ b/crates/millethook-connect/src/pool/limits.rs
@@ -8,11 +8,10 @@
 ///
 /// An answer does not name its request (RFC 9112, section 9.3.2: order alone tells). A server that sends an answer twice
 /// may send the second copy once the next request on the connection has begun, and it looks like that one's answer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reuse {
     /// For any number, and for two where the server has sent bytes in the last minute that belong to no answer. The first
     /// such answer of a server that turns bad is taken for that of the request under way.
-    #[default]
     Unlimited,
     /// For two. The second request asks for the connection's end, and its answer has to announce it. No earlier answer
     /// on the connection did, so none of them can be taken for it.
@@ -52,18 +51,10 @@
     pub spare: usize,
     /// How long servers keep a connection at rest, as they say.
     pub idle: Duration,
-    /// For how many requests each is used.
-    pub reuse: Reuse,
 }
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits {
-            per_server: 1024,
-            opening: 8,
-            spare: 0,
-            idle: Duration::from_secs(10),
-            reuse: Reuse::default(),
-        }
+        Limits { per_server: 1024, opening: 8, spare: 0, idle: Duration::from_secs(10) }
     }
 }
--- a/crates/millethook-connect/tests/common/world.rs
+++ b/crates/millethook-connect/tests/common/world.rs
@@ -8,13 +8,7 @@
 use super::script::{SERVERS, Step};
 
 const MS: Duration = Duration::from_millis(1);
-const LIMITS: Limits = Limits {
-    per_server: 4,
-    opening: 3,
-    spare: 2,
-    idle: Duration::from_secs(3),
-    reuse: Reuse::Unlimited,
-};
+const LIMITS: Limits = Limits { per_server: 4, opening: 3, spare: 2, idle: Duration::from_secs(3) };
 /// A quarantine has at least this length.
 const SHORTEST_QUARANTINE: Duration = Duration::from_micros(100);
 /// And at most this one.
@@ -60,7 +54,7 @@
 /// The rule that was broken, and by what.
 pub fn play(script: &[Step]) -> Result<(), String> {
     let mut world = World {
-        pool: Pool::new(LIMITS),
+        pool: Pool::new(LIMITS, Reuse::Unlimited),
         owners: std::array::from_fn(|_| Owner { forgotten: true, ..Owner::default() }),
         record: Record::default(),
         now: Instant::now(),
--- a/crates/millethook-connect/tests/pool.rs
+++ b/crates/millethook-connect/tests/pool.rs
@@ -8,7 +8,7 @@
 const MS: Duration = Duration::from_millis(1);
 
 fn limits() -> Limits {
-    Limits { per_server: 4, opening: 2, spare: 1, idle: 1000 * MS, reuse: Reuse::Unlimited }
+    Limits { per_server: 4, opening: 2, spare: 1, idle: 1000 * MS }
 }
 
 fn quiet(_: &u32) -> Look {
@@ -24,7 +24,7 @@
 
 #[test]
 fn a_connection_settles_before_it_is_used_again() {
-    let (mut pool, now) = (Pool::new(limits()), Instant::now() + 1000 * MS);
+    let (mut pool, now) = (Pool::new(limits(), Reuse::Unlimited), Instant::now() + 1000 * MS);
     rested(&mut pool, 1, now);
     assert_eq!(pool.checkout(0, now, quiet), Checkout::Open);
     pool.opened(0, None);
@@ -35,8 +35,7 @@
 /// Guards against an earlier answer on a connection whose requests' answers cannot be told apart.
 #[test]
 fn where_answers_are_proven_only_a_server_that_announces_ends_has_its_connections_kept() {
-    let limits = Limits { reuse: Reuse::Proven, ..limits() };
-    let (mut pool, now) = (Pool::new(limits), Instant::now() + 1000 * MS);
+    let (mut pool, now) = (Pool::new(limits(), Reuse::Proven), Instant::now() + 1000 * MS);
     rested(&mut pool, 1, now);
     assert_eq!(pool.counts().resting, 0, "nothing is known of the server");
     assert!(!pool.announces_end(0, now));
@@ -53,11 +52,27 @@
     assert_eq!(pool.check(now), Ok(()));
 }
 
+/// Guards against open connections that go on being used for any number of requests.
+#[test]
+fn open_connections_follow_a_new_reuse() {
+    let (mut pool, now) = (Pool::new(limits(), Reuse::Unlimited), Instant::now() + 1000 * MS);
+    rested(&mut pool, 1, now);
+    pool.set_reuse(Reuse::Proven);
+    assert!(pool.answers_need_proof(0, now));
+    assert_eq!(pool.checkout(0, now + 10 * MS, quiet), Checkout::Open);
+    assert_eq!(pool.counts().resting, 0, "nothing is known of the server");
+    pool.opened(0, Some(MS));
+    pool.set_reuse(Reuse::Unlimited);
+    pool.release(0, 2, now);
+    assert_eq!(pool.checkout(0, now + 10 * MS, quiet), Checkout::Reuse(2, 10 * MS));
+    assert_eq!(pool.check(now), Ok(()));
+}
+
 /// Guards against the copies of a server that was seen to send what belongs to no answer.
 #[test]
 fn a_server_with_stray_bytes_has_no_connection_used_again_for_a_minute() {
     const MINUTE: Duration = Duration::from_secs(60);
-    let (mut pool, now) = (Pool::new(limits()), Instant::now() + 1000 * MS);
+    let (mut pool, now) = (Pool::new(limits(), Reuse::Unlimited), Instant::now() + 1000 * MS);
     rested(&mut pool, 1, now);
     rested(&mut pool, 2, now);
     let stray = |n: &u32| if *n == 2 { Look::Stray } else { Look::Quiet };
@@ -74,7 +89,7 @@
 
 #[test]
 fn a_server_with_late_stray_bytes_has_its_connections_settle_for_longer() {
-    let (mut pool, now) = (Pool::new(limits()), Instant::now() + 1000 * MS);
+    let (mut pool, now) = (Pool::new(limits(), Reuse::Unlimited), Instant::now() + 1000 * MS);
     rested(&mut pool, 1, now);
     // Its answers can be proven, so that its connections are used again all the same.
     pool.end_was_asked(0, true, now);
@@ -88,7 +103,7 @@
 
 #[test]
 fn the_youngest_goes_first_and_the_oldest_is_given_up_first() {
-    let (mut pool, now) = (Pool::new(limits()), Instant::now() + 1000 * MS);
+    let (mut pool, now) = (Pool::new(limits(), Reuse::Unlimited), Instant::now() + 1000 * MS);
     for _ in 0..3 {
         // None is out of quarantine by then, so another one opens.
         assert_eq!(pool.checkout(0, now - 100 * MS, quiet), Checkout::Open);
@@ -105,7 +120,7 @@
 
 #[test]
 fn what_is_no_longer_good_is_passed_over() {
-    let (mut pool, now) = (Pool::new(limits()), Instant::now() + 1000 * MS);
+    let (mut pool, now) = (Pool::new(limits(), Reuse::Unlimited), Instant::now() + 1000 * MS);
     for _ in 0..3 {
         assert_eq!(pool.checkout(0, now - 100 * MS, quiet), Checkout::Open);
         pool.opened(0, Some(MS));
@@ -126,7 +141,7 @@
 
 #[test]
 fn connections_retire_ahead_of_a_limit_that_is_learned() {
-    let (mut pool, now) = (Pool::new(limits()), Instant::now() + 1000 * MS);
+    let (mut pool, now) = (Pool::new(limits(), Reuse::Unlimited), Instant::now() + 1000 * MS);
     rested(&mut pool, 1, now);
     assert_eq!(pool.watch(now + 699 * MS, quiet), 0);
     assert_eq!(pool.watch(now + 700 * MS, quiet), 1, "told: 1 s");
@@ -143,7 +158,7 @@
 
 #[test]
 fn a_server_without_connections_is_forgotten() {
-    let (mut pool, now) = (Pool::<u8, u32>::new(limits()), Instant::now());
+    let (mut pool, now) = (Pool::<u8, u32>::new(limits(), Reuse::Unlimited), Instant::now());
     assert_eq!(pool.checkout(0, now, quiet), Checkout::Open);
     pool.opened(0, None);
     for _ in 1..FORGET_AFTER {
@@ -156,7 +171,7 @@
 
 #[test]
 fn handshakes_and_connections_are_bounded() {
-    let (mut pool, now) = (Pool::<u8, u32>::new(limits()), Instant::now());
+    let (mut pool, now) = (Pool::<u8, u32>::new(limits(), Reuse::Unlimited), Instant::now());
     assert_eq!(pool.checkout(0, now, quiet), Checkout::Open);
     assert_eq!(pool.checkout(0, now, quiet), Checkout::Open);
     assert_eq!(pool.checkout(0, now, quiet), Checkout::Wait(None), "two handshakes at once");
@@ -175,7 +190,7 @@
 
 #[test]
 fn a_spare_is_opened_while_use_rises_and_only_then() {
-    let (mut pool, now) = (Pool::<u8, u32>::new(limits()), Instant::now());
+    let (mut pool, now) = (Pool::<u8, u32>::new(limits(), Reuse::Unlimited), Instant::now());
     assert!(!pool.spare(0), "nothing is in use");
     assert_eq!(pool.checkout(0, now, quiet), Checkout::Open);
     pool.opened(0, Some(MS));
@@ -192,7 +207,7 @@
 
 #[test]
 fn nothing_of_a_server_that_has_left_is_kept() {
-    let (mut pool, now) = (Pool::<u8, u32>::new(limits()), Instant::now());
+    let (mut pool, now) = (Pool::<u8, u32>::new(limits(), Reuse::Unlimited), Instant::now());
     for _ in 0..2 {
         assert_eq!(pool.checkout(0, now, quiet), Checkout::Open);
         pool.opened(0, Some(MS));
@@ -237,7 +252,7 @@
     /// connection is handed out in its quarantine or after it was to retire.
     #[test]
     fn any_course_keeps_the_bounds(ops in proptest::collection::vec(op(), 1..200)) {
-        let mut pool = Pool::<u8, (u32, Instant)>::new(limits());
+        let mut pool = Pool::<u8, (u32, Instant)>::new(limits(), Reuse::Unlimited);
         let mut now = Instant::now();
         let (mut opening, mut used) = ([0usize; 3], [const { Vec::new() }; 3]);
         let (mut spares, mut next) = ([0usize; 3], 0u32);
--- a/crates/millethook-engine/src/engine.rs
+++ b/crates/millethook-engine/src/engine.rs
@@ -9,7 +9,7 @@
 use coppercart::api::ListKind;
 use coppercart::settings::{Discovery as How, Settings};
 use millethook_connect::Begins;
-use millethook_connect::pool::Limits;
+use millethook_connect::pool::{Limits, Reuse};
 use millethook_machine::hash::mix;
 use millethook_membership::Source;
 use serde_json::Value;
@@ -29,6 +29,7 @@
 use crate::names::Names;
 use crate::news::{MembershipSink, PeerSender};
 use crate::peers::Peers;
+use crate::product::usual_reuse;
 use crate::server_lists::{
     ListPublisher, ListRole, ListSubscription, PublishingSink, SubscribedSink, SubscriptionParts,
 };
@@ -52,6 +53,8 @@
     pub keeper: Option<(String, KeeperConfig)>,
     /// What bounds connections to servers; `settings` tells how long they may rest.
     pub connections: Limits,
+    /// For how many requests a connection is used; None: as `settings` price a handshake.
+    pub reuse: Option<Reuse>,
     /// The other sidecars, where there is a way to them.
     pub peers: Option<PeerConfig>,
     /// How the view of the fleet is kept; None: there is none.
@@ -80,6 +83,9 @@
     pub figures: Rc<Figures>,
     /// The sockets that it may hold.
     pub sockets: Rc<Sockets>,
+    upstream: Rc<Upstream>,
+    /// For how many requests a connection is used, where the configuration says so.
+    reuse: Option<Reuse>,
     longest_deadline: Cell<Duration>,
     /// The names of settings that were in force before, for as long as something goes by them.
     before: RefCell<Vec<Arc<Names>>>,
@@ -142,6 +148,7 @@
                     idle: Duration::from_micros(limits.conn_idle),
                     ..config.connections
                 },
+                reuse: config.reuse.unwrap_or_else(|| usual_reuse(&config.settings)),
             },
         );
         let how = config.settings.discovery;
@@ -165,7 +172,7 @@
         let version = config.known.as_ref().map_or(0, |known| known.seq);
         let keeper = config.keeper.map(|(fleet, keeper)| {
             let (driver, known) = (driver.clone(), config.known.as_ref());
-            Keeper::start(driver, upstream, keeper, &fleet, config.seed, known)
+            Keeper::start(driver, upstream.clone(), keeper, &fleet, config.seed, known)
         });
         if let Some(known) = config.known.as_ref().filter(|_| keeper.is_none()) {
             let remembered = config.discovery.is_some();
@@ -219,6 +226,8 @@
             names: RefCell::new(names),
             figures,
             sockets,
+            upstream,
+            reuse: config.reuse,
             longest_deadline: Cell::new(longest_deadline),
             before: RefCell::default(),
             tried,
@@ -257,6 +266,7 @@
         let longest = Duration::from_micros(settings.longest(|c| c.deadline));
         self.longest_deadline.set(longest.max(self.longest_deadline.get()));
         self.call_limits.set(CallLimits::from(&settings));
+        self.upstream.set_reuse(self.reuse.unwrap_or_else(|| usual_reuse(&settings)));
         self.driver.retune(settings);
         self.figures.renamed(&names);
         before.push(self.names.replace(names.clone()));
--- a/crates/millethook-engine/src/product.rs
+++ b/crates/millethook-engine/src/product.rs
@@ -56,16 +56,22 @@
         per_server: given.per_server.unwrap_or(usual.per_server),
         opening: given.opening.unwrap_or(usual.opening),
         spare: given.spare.unwrap_or(usual.spare),
-        reuse: given.reuse.map_or(usual.reuse, reuse),
         ..usual
     }
 }
 
-fn reuse(given: millethook_config::Reuse) -> Reuse {
-    match given {
+/// For how many requests a connection is used, where the file says so.
+pub fn reuse(product: &Product) -> Option<Reuse> {
+    product.connections.reuse.map(|given| match given {
         millethook_config::Reuse::Unlimited => Reuse::Unlimited,
         millethook_config::Reuse::Proven => Reuse::Proven,
-    }
+    })
+}
+
+/// For how many requests a connection is used, where nothing says so. Proven answers cost a handshake for two requests, so
+/// they are what a deployment gets that puts no price on handshakes.
+pub fn usual_reuse(settings: &Settings) -> Reuse {
+    if settings.prices.handshake > 0.0 { Reuse::Unlimited } else { Reuse::Proven }
 }
 
 /// How the view of the fleet is kept, if it is.
--- a/crates/millethook-engine/src/upstream/mod.rs
+++ b/crates/millethook-engine/src/upstream/mod.rs
@@ -17,7 +17,7 @@
 
 use coppercart::api::{Outcome, ServerId};
 use millethook_connect::Begins;
-use millethook_connect::pool::{Checkout, Counts, Ended, Limits, Look, Pool};
+use millethook_connect::pool::{Checkout, Counts, Ended, Limits, Look, Pool, Reuse};
 use rustc_hash::FxHashMap;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
@@ -49,6 +49,8 @@
     pub connect_timeout: Duration,
     /// What bounds connections.
     pub limits: Limits,
+    /// For how many requests each is used.
+    pub reuse: Reuse,
 }
 
 /// All connections to servers.
@@ -76,7 +78,7 @@
         config: UpstreamConfig,
     ) -> Rc<Upstream> {
         let upstream = Rc::new(Upstream {
-            pool: RefCell::new(Pool::new(config.limits)),
+            pool: RefCell::new(Pool::new(config.limits, config.reuse)),
             sockets,
             names,
             config,
@@ -119,6 +121,11 @@
         }
     }
 
+    /// From now on connections are used for so many requests.
+    pub fn set_reuse(&self, reuse: Reuse) {
+        self.pool.borrow_mut().set_reuse(reuse);
+    }
+
     /// Closes the connections to `server` that are at rest; `gone`: it has left for good.
     pub fn close_idle(&self, server: ServerId, gone: bool) {
         self.pool.borrow_mut().close_idle(server, gone);
--- a/crates/millethook-engine/tests/cost.rs
+++ b/crates/millethook-engine/tests/cost.rs
@@ -8,7 +8,7 @@
 
 use coppercart::settings::Settings;
 use http::{HeaderMap, Method, Uri};
-use millethook_connect::pool::Limits;
+use millethook_connect::pool::{Limits, Reuse};
 use millethook_connect::{Begins, EncodedRequest};
 use millethook_engine::budget::{ByteReservation, ConnectionPermits, Sockets};
 use millethook_engine::driver::{Reply, RequestHead};
@@ -40,6 +40,8 @@
         known: Some(known),
         begins: Begins::Head,
         connections: Limits::default(),
+        // What a used connection costs is what is counted.
+        reuse: Some(Reuse::Unlimited),
         peers: None,
         fleet: None,
         distribution: None,
--- a/crates/millethook/src/config.rs
+++ b/crates/millethook/src/config.rs
@@ -10,7 +10,7 @@
 use coppercart::settings::Settings;
 use millethook_config::Product;
 use millethook_connect::Begins;
-use millethook_connect::pool::Limits;
+use millethook_connect::pool::{Limits, Reuse};
 use millethook_engine::fleet::FleetSettings;
 use millethook_engine::keeper::KeeperConfig;
 use millethook_engine::list::List;
@@ -47,6 +47,8 @@
     pub(crate) known: Option<List>,
     pub(crate) begins: Begins,
     pub(crate) connections: Limits,
+    /// None: as the settings price a handshake.
+    pub(crate) reuse: Option<Reuse>,
     pub(crate) keeper: Option<KeeperConfig>,
     pub(crate) peers: Option<(SocketAddr, Vec<SocketAddr>)>,
     pub(crate) view: Option<FleetSettings>,
@@ -130,12 +132,10 @@
             per_server: one("per_server", given_ones.per_server, usual.per_server)?,
             opening: one("opening", given_ones.opening, usual.opening)?,
             spare: given_ones.spare.unwrap_or(usual.spare),
-            reuse: given_ones
-                .reuse
-                .map_or(Ok(usual.reuse), |text| text.parse())
-                .map_err(|e| wrong(format!("connections.reuse: {e}")))?,
             ..usual
         };
+        let reuse = given_ones.reuse.map(|text| text.parse()).transpose();
+        let reuse = reuse.map_err(|e| wrong(format!("connections.reuse: {e}")))?;
         let settings = Settings::from_json(file.settings.to_string().as_bytes()).map_err(wrong)?;
         let names = Names::new(&settings, &file.settings).map_err(wrong)?;
         // Of a file that is the daemon's, too: the share of its memory that is for bodies there.
@@ -148,6 +148,7 @@
             known: file.known,
             begins,
             connections,
+            reuse,
             keeper: None,
             peers: file.peer_listen.map(|listen| (listen, file.peers)),
             view: None,
@@ -180,6 +181,7 @@
         self.keeper = keeper;
         self.view = product::fleet(&product);
         self.connections = product::connections(&product, self.connections);
+        self.reuse = product::reuse(&product).or(self.reuse);
         product::retune(&product, &mut self.settings);
         // Another opening of the fleet has to have the same file.
         self.given["product"] = format!("{product:?}").into();
--- a/crates/millethook/src/config/builder.rs
+++ b/crates/millethook/src/config/builder.rs
@@ -184,8 +184,8 @@
         self
     }
 
-    /// For how many requests a connection is used ([`Reuse::Unlimited`] if not set). [`Reuse::Proven`] costs a handshake
-    /// for two requests, and no caller gets an answer that was made for another one.
+    /// For how many requests a connection is used ([`Reuse::Proven`] if not set: no caller gets an answer that was made for
+    /// another one, at a handshake for two requests). [`Reuse::Unlimited`] takes the answers of servers on trust.
     pub fn reuse(mut self, reuse: Reuse) -> FleetBuilder {
         self.connections["reuse"] = reuse.to_string().into();
         self
--- a/crates/millethook/src/thread.rs
+++ b/crates/millethook/src/thread.rs
@@ -79,6 +79,7 @@
         known: config.known.clone(),
         begins: config.begins,
         connections: config.connections,
+        reuse: config.reuse,
         // Without a view there is nothing that is said between instances of a library.
         peers: config.view.as_ref().and(config.peers.clone()).map(|(listen, peers)| PeerConfig {
             listen,
--- a/crates/plankvale/src/lib.rs
+++ b/crates/plankvale/src/lib.rs
@@ -102,6 +102,7 @@
         known: config.known,
         begins: config.begins,
         connections,
+        reuse: product::reuse(&config.product),
         keeper: keeper.map(|keeper| (config.name.clone(), keeper)),
         peers,
         fleet: product::fleet(&config.product),
--- a/crates/plankvale/tests/sidecar/reload.rs
+++ b/crates/plankvale/tests/sidecar/reload.rs
@@ -83,6 +83,32 @@
     assert!(sidecar.child.try_wait().unwrap().is_none());
 }
 
+/// Guards against answers that go on unproven once handshakes have no price any more.
+#[test]
+fn a_new_price_of_handshakes_counts_for_open_connections() {
+    const REQUESTS: usize = 8;
+    let server = Server::start(|mut conn| {
+        while let Some(message) = conn.message().filter(|message| message.whole) {
+            let close = |value: &str| value.eq_ignore_ascii_case("close");
+            if message.header("connection").is_some_and(close) {
+                conn.send(answer("200 OK", "Connection: close\r\n", "asked to close"));
+                return;
+            }
+            conn.send(ok("kept open"));
+        }
+    });
+    let agent = Agent::start(hosts(&[server]));
+    let priced = config(agent.address, |_| {});
+    let unpriced = config(agent.address, |c| c["settings"]["prices"]["handshake"] = json!(0));
+    let sidecar = Sidecar::start(&priced);
+    let all_kept = || (0..REQUESTS).all(|_| sidecar.served_by() == "kept open");
+    assert!(all_kept());
+    sidecar.reload(&unpriced.to_string());
+    within("answers are proven", || sidecar.served_by() == "asked to close");
+    sidecar.reload(&priced.to_string());
+    within("answers are proven no more", all_kept);
+}
+
 /// A configuration whose settings are changed so.
 fn retuned(agent: &Agent, change: impl FnOnce(&mut serde_json::Value)) -> String {
     let mut whole = config(agent.address, |c| c["admin"] = json!("127.0.0.1:0"));
