Connections: an answer that equals an earlier one on its connection is not the next one

What callers saw: where the settings price a handshake, a server that was well and then answered twice had its copies served to the next callers: 60 of 60 behind one single copy (its connection stayed one answer behind), 2 or 3 of 30 to unsafe requests and to clients with little time left, 30 of 30 where the copy came 30 ms late.

Cause: an answer does not name its request. The proof by an announced end costs a handshake for two requests and is off where one has a price; there an answer on a used connection was taken on trust unless stray bytes had told, and in these orders of events none come.

Ruled out before: waits, fewer handshakes, our own end, mirrored fields, delimiters. Comparing answers had been dropped too early: a second copy of an answer is that answer, same status and body.

Change: each connection remembers a keyed fingerprint of each answer that it has carried (status, first 4 KiB; 256 at most, then it is replaced). An answer that equals one of them is not served: a request that may be repeated goes out once more on a new connection, and an unsafe one waits for the answer behind the copy. One that equals none is its request's own, by induction for any number of requests, with no time guessed. Whether a class's answers differ at all is learnt over all servers; until then, and where two were equal, requests go out on new connections or are proven as before. Behind an answer that is not remembered a connection carries no other request. `Reuse::Compared` is the default where handshakes cost. Gone: the proof of a server's first quick answer by our end of its connection, with its three waits.

Still open: a second answer with another body.

--- a/crates/millethook-connect/src/exchange.rs
+++ b/crates/millethook-connect/src/exchange.rs
@@ -168,6 +168,11 @@
         self.decoder = Decoder::default();
     }
 
+    /// Whether the whole answer has come.
+    pub fn answer_is_whole(&self) -> bool {
+        self.decoder.is_whole()
+    }
+
     /// Whether the answer's head has come and says that the connection ends behind it.
     pub fn announces_end(&self) -> bool {
         self.decoder.has_head() && !self.decoder.keeps_alive()
--- a/crates/millethook-connect/src/lib.rs
+++ b/crates/millethook-connect/src/lib.rs
@@ -1,6 +1,7 @@
 //! Connections to HTTP/1.1 servers as state machines: bytes and times are handed in, decisions come
 //! out, and nothing here touches a socket or a clock.
 //!
+//! - [`answers`]: what answers are compared by, so that a second copy of one is not taken for another one.
 //! - [`contract`]: what is known of a request from how much of it was sent.
 //! - [`request`]: a request as it goes to servers, encoded once for all its attempts.
 //! - [`response`]: answers, read as their bytes come (RFC 9112).
@@ -9,6 +10,7 @@
 //! - [`pool`]: the connections of all servers, and which of them may be used.
 #![forbid(unsafe_code)]
 
+pub mod answers;
 pub mod contract;
 pub mod exchange;
 pub mod facts;
--- a/crates/millethook-connect/src/pool.rs
+++ b/crates/millethook-connect/src/pool.rs
@@ -16,6 +16,7 @@
 mod checkout;
 mod counts;
 mod limits;
+mod matching;
 mod server;
 
 use std::hash::Hash;
@@ -29,6 +30,7 @@
 pub use checkout::{Checkout, Look};
 pub use counts::{Counts, Ended};
 pub use limits::{Limits, Reuse};
+pub use matching::Matching;
 use server::{IdleConnection, Server};
 
 /// After so many spans without a connection what is known of a server is forgotten. Without this, the pool would grow
@@ -105,15 +107,35 @@
                 }
             }
         }
-        let may_open = server.opening < self.limits.opening || mutant::is(Mutant::AnyHandshakes);
-        let has_room = server.all() < self.limits.per_server || mutant::is(Mutant::AnyConnections);
-        if may_open && has_room {
-            server.opening += 1;
+        if self.may_open(key) {
             return Checkout::Open;
         }
         Checkout::Wait(self.quarantined_until(key))
     }
 
+    /// A new connection for a request whose answer has to be the first on its connection. Where a limit leaves no room, the
+    /// server's connection that came to rest first makes some.
+    pub fn checkout_new(&mut self, key: K) -> Checkout<C> {
+        let server = self.servers.entry(key).or_default();
+        server.gone = false;
+        let is_full =
+            server.all() >= self.limits.per_server && server.opening < self.limits.opening;
+        if is_full && server.resting.pop_front().is_some() {
+            self.resting -= 1;
+            self.ended.given_up += 1;
+        }
+        if self.may_open(key) { Checkout::Open } else { Checkout::Wait(None) }
+    }
+
+    /// Whether one more connection to a server may be opened; if so, it counts as opening from now on.
+    fn may_open(&mut self, key: K) -> bool {
+        let server = self.servers.entry(key).or_default();
+        let may_open = server.opening < self.limits.opening || mutant::is(Mutant::AnyHandshakes);
+        let has_room = server.all() < self.limits.per_server || mutant::is(Mutant::AnyConnections);
+        server.opening += usize::from(may_open && has_room);
+        may_open && has_room
+    }
+
     /// When the next of a server's connections at rest may be used; None: none rests.
     pub fn quarantined_until(&self, key: K) -> Option<Instant> {
         self.servers.get(&key)?.resting.iter().map(|resting| resting.quarantined_until).min()
--- a/crates/millethook-connect/src/pool/limits.rs
+++ b/crates/millethook-connect/src/pool/limits.rs
@@ -8,11 +8,16 @@
 ///
 /// An answer does not name its request (RFC 9112, section 9.3.2: order alone tells). A server that sends an answer twice
 /// may send the second copy once the next request on the connection has begun, and it looks like that one's answer.
+/// Whichever it is, connections of a server that has sent bytes in the last minute that belong to no answer are used as
+/// with [`Reuse::Proven`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reuse {
-    /// For any number, and for two where the server has sent bytes in the last minute that belong to no answer. The first
-    /// such answer of a server that turns bad is taken for that of the request under way.
+    /// For any number. An answer that equals an earlier one on its connection is a copy where the answers of its class are
+    /// known to differ. Elsewhere servers are trusted to answer each request once.
     Unlimited,
+    /// For any number where the answers of a class are known to differ, and elsewhere as [`Reuse::Proven`]. A second answer
+    /// with another body than the first one is not recognized.
+    Compared,
     /// For two. The second request asks for the connection's end, and its answer has to announce it. No earlier answer
     /// on the connection did, so none of them can be taken for it.
     Proven,
@@ -24,8 +29,11 @@
     fn from_str(text: &str) -> Result<Reuse, String> {
         match text {
             "unlimited" => Ok(Reuse::Unlimited),
+            "compared" => Ok(Reuse::Compared),
             "proven" => Ok(Reuse::Proven),
-            other => Err(format!("\"unlimited\" or \"proven\" expected, not {other:?}")),
+            other => {
+                Err(format!("\"unlimited\", \"compared\" or \"proven\" expected, not {other:?}"))
+            }
         }
     }
 }
@@ -34,6 +42,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Reuse::Unlimited => "unlimited",
+            Reuse::Compared => "compared",
             Reuse::Proven => "proven",
         })
     }
--- a/crates/millethook-connect/src/response.rs
+++ b/crates/millethook-connect/src/response.rs
@@ -163,9 +163,14 @@
         self.keep_alive
     }
 
+    /// Whether the whole answer has come.
+    pub fn is_whole(&self) -> bool {
+        self.state == State::Done
+    }
+
     /// Whether the whole answer has come, and its connection may carry another one.
     pub fn reusable(&self) -> bool {
-        self.state == State::Done && self.keep_alive
+        self.is_whole() && self.keep_alive
     }
 
     /// Reads a head, and goes on with what it says of the body.
--- a/crates/millethook-engine/src/driver/attempts.rs
+++ b/crates/millethook-engine/src/driver/attempts.rs
@@ -29,7 +29,7 @@
         (wait, commit_within): (Micros, Micros),
     ) {
         let (cancel, cancelled) = oneshot::channel();
-        let (n, way) = {
+        let (n, class, way) = {
             let mut core = self.core.borrow_mut();
             let listed = core.servers.get(&server).cloned();
             let Some(request) = core.requests.get_mut(&id) else {
@@ -39,7 +39,7 @@
             request.attempts.push(Some(cancel));
             let spec =
                 request.spec.clone().filter(|_| !request.ended() && request.streaming.is_none());
-            (request.attempts.len() - 1, spec.zip(listed))
+            (request.attempts.len() - 1, request.class, spec.zip(listed))
         };
         let Some((spec, listed)) = way else {
             return self.moot(id, n, server);
@@ -62,7 +62,7 @@
             id,
             n,
             (server, listed.dial),
-            spec,
+            (class, spec),
             (gate, until),
             cancelled,
         ));
@@ -81,7 +81,7 @@
         id: RequestId,
         n: usize,
         (server, dial): (ServerId, SocketAddr),
-        spec: Rc<AttemptRequest>,
+        (class, spec): (usize, Rc<AttemptRequest>),
         (gate, until): (Gate, Instant),
         cancelled: oneshot::Receiver<()>,
     ) {
@@ -98,7 +98,8 @@
             |outcome| AttemptOutcome::End { outcome, report: LoadReport::default(), answer: None };
         let reached = {
             let upload = spec.upload.as_ref();
-            let mut attempt = pin!(self.upstream.attempt((server, dial), &spec, gate, until));
+            let mut attempt =
+                pin!(self.upstream.attempt((server, dial), Some(class), &spec, gate, until));
             let mut passed_on = upload.is_none();
             let attempt = poll_fn(|cx| {
                 let reached = attempt.as_mut().poll(cx);
--- a/crates/millethook-engine/src/product.rs
+++ b/crates/millethook-engine/src/product.rs
@@ -69,9 +69,9 @@
 }
 
 /// For how many requests a connection is used, where nothing says so. Proven answers cost a handshake for two requests, so
-/// they are what a deployment gets that puts no price on handshakes.
+/// they are what a deployment gets that puts no price on handshakes; elsewhere answers are compared.
 pub fn usual_reuse(settings: &Settings) -> Reuse {
-    if settings.prices.handshake > 0.0 { Reuse::Unlimited } else { Reuse::Proven }
+    if settings.prices.handshake > 0.0 { Reuse::Compared } else { Reuse::Proven }
 }
 
 /// How the view of the fleet is kept, if it is.
--- a/crates/millethook-engine/src/upstream/attempt/own_answer.rs
+++ b/crates/millethook-engine/src/upstream/attempt/own_answer.rs
@@ -1,15 +1,17 @@
-//! Whether a whole answer was made for its request, or may be a second copy of an earlier one.
+//! Whether an answer was made for its request, or is a second copy of an earlier one.
 //!
 //! An answer does not name its request. A server that answers twice may send the second copy only once the next request
 //! on the connection has begun; the true answer then follows it. A connection that carries its first answer has no
-//! earlier one. On a used one it depends on [`Reuse`](millethook_connect::pool::Reuse):
+//! earlier one. On a used one it depends on [`Matching`]:
 //!
-//! - Proven: the request asks for the connection's end, and only an answer that announces the end is its own. An earlier
-//!   answer that had announced it would have been the connection's last one.
-//! - Unlimited: bytes behind the answer are looked at, and where the server has proven nothing yet, the connection is
-//!   ended, so that all that the server has to send is here before the answer is served. That is for requests that may
-//!   be repeated; others are held back before their last byte more often, and a doubt would leave them failed. A server
-//!   that was well and turns bad, and one that drops its work when our side ends, get an earlier answer through.
+//! - By its end: the request asks for the connection's end, and only an answer that announces the end is its own. An
+//!   earlier answer that had announced it would have been the connection's last one.
+//! - By its content: an answer that equals an earlier one on its connection is skipped. A request that must not run twice
+//!   waits for the one behind it; another one is repeated on a new connection. Each answer on the connection so far was its request's own, so one that differs from all of them is no copy.
+//! - On trust: it is its request's own.
+//!
+//! In each case bytes behind the answer are looked at: where another answer that differs is there already, neither is
+//! served.
 
 use std::future::poll_fn;
 use std::task::{Context, Poll, ready};
@@ -17,25 +19,34 @@
 
 use coppercart::api::ServerId;
 use http::StatusCode;
+use millethook_connect::answers::{Fingerprint, SeenAnswers};
 use millethook_connect::facts::Caught;
+use millethook_connect::pool::Matching;
 use millethook_connect::request::Persistence;
 use millethook_connect::response::is_other_answer;
-use millethook_connect::{Event, Execution, Progress, ResponseHead};
+use millethook_connect::{Event, Execution, ResponseHead};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+use super::held::Held;
 use super::running::Broken;
-use super::{AttemptRequest, Running, Upstream, WHOLE};
+use super::{Running, Upstream, WHOLE};
 
-/// How many answers to earlier requests may come ahead of a request's own. A connection has carried one.
-const MOST_SKIPPED: usize = 2;
+/// How many answers to earlier requests may come ahead of a request's own.
+pub(super) const MOST_SKIPPED: usize = 2;
 
-/// The first bytes of a request call forth no answer that takes longer than this.
-const QUICK_ANSWER: Duration = Duration::from_millis(20);
-/// How long a server may take to end its side of a connection once the other side has ended.
+/// How long a server may take to end its side of a connection whose end was asked for.
 const SERVER_END: Duration = Duration::from_millis(100);
-/// The share of the time that is left which that may take.
-const SERVER_END_SHARE: u32 = 4;
+
+/// Whose answer one is.
+pub(super) enum Verdict {
+    /// Its request's own, and what it is remembered by.
+    Own(Fingerprint),
+    /// An earlier request's, for all that can be told: it equals that one's.
+    Copy(Fingerprint),
+    /// Nobody knows: another one that differs stands behind it.
+    Contradicted,
+}
 
 impl Upstream {
     /// The head of the request's own answer, `head` being the first that came. Answers to earlier requests are skipped.
@@ -81,62 +92,62 @@
         announced || !running.lease.is_used()
     }
 
-    /// Whether a whole answer is its request's own, as far as can be told. Gives the connection back, or ends it.
-    pub(super) async fn is_own_answer(
+    /// Whose answer it is, as far as can be told. `class`: that of the request; None for a page of the server's own.
+    pub(super) fn judge(
         &self,
-        mut running: Running,
-        request: &AttemptRequest,
+        running: &mut Running,
+        class: Option<usize>,
         status: StatusCode,
-        body: &[u8],
-        until: Instant,
-    ) -> bool {
-        match running.persistence {
-            Persistence::KeepAlive if !running.lease.is_used() => {
-                running.end();
-                true
-            }
-            Persistence::KeepAlive => {
-                self.is_likely_own(running, request, status, body, until).await
-            }
-            Persistence::Close => {
-                let used = running.lease.is_used();
-                if used && self.is_contradicted(&mut running, status, body) {
-                    return false;
-                }
-                running.end();
-                true
-            }
+        held: &Held,
+    ) -> Verdict {
+        let answer = self.fingerprints.fingerprint(status, held.bytes());
+        let is_compared =
+            running.matching == Matching::Content && running.persistence == Persistence::KeepAlive;
+        if is_compared && running.lease.has_carried(answer) {
+            self.note(class, SeenAnswers::equal);
+            return Verdict::Copy(answer);
         }
+        if let Held::Whole(body) = held
+            && running.lease.is_used()
+            && self.is_contradicted(running, status, body)
+        {
+            return Verdict::Contradicted;
+        }
+        let server = running.lease.server();
+        self.note(class, |answers, class| answers.observe(class, answer, server));
+        Verdict::Own(answer)
     }
 
-    /// Whether an answer on a used connection that goes on is likely its request's own.
-    async fn is_likely_own(
+    /// The head of the answer behind a copy. The server is caught with it. Without an answer behind it, it was none: answers
+    /// of the class are equal.
+    ///
+    /// # Errors
+    /// There is no other answer.
+    pub(super) async fn head_behind_copy(
         &self,
-        mut running: Running,
-        request: &AttemptRequest,
-        status: StatusCode,
-        body: &[u8],
-        until: Instant,
-    ) -> bool {
-        let server = running.lease.server();
-        let ended = request.repeatable && self.is_in_doubt(&running, server);
-        if ended {
-            if let Some(connection) = running.lease.connection() {
-                connection.finish_writing();
-            }
-            let left = until.saturating_duration_since(Instant::now());
-            // A server that does not end its side has at least sent nothing more in that time.
-            running.server_end(SERVER_END.min(left / SERVER_END_SHARE)).await;
-        }
-        if self.is_contradicted(&mut running, status, body) {
-            return false;
-        }
-        if ended {
-            running.lease.close();
-        } else {
-            running.end();
+        running: &mut Running,
+        class: Option<usize>,
+    ) -> Result<ResponseHead, Broken> {
+        let head = running.next_head().await?;
+        self.was_copy(running.lease.server(), class);
+        Ok(head)
+    }
+
+    /// The last answer that equalled an earlier one was no answer to its request: the server is caught with a copy.
+    pub(super) fn was_copy(&self, server: ServerId, class: Option<usize>) {
+        self.note(class, SeenAnswers::was_copy);
+        self.pool.borrow_mut().caught(server, Caught::Stray, Instant::now());
+    }
+
+    /// Takes note of an answer to a request of a class.
+    fn note(
+        &self,
+        class: Option<usize>,
+        of: impl FnOnce(&mut SeenAnswers<usize, ServerId>, usize),
+    ) {
+        if let Some(class) = class {
+            of(&mut self.answers.borrow_mut(), class);
         }
-        true
     }
 
     /// Whether another answer that differs stands behind this one. The server is caught with it.
@@ -149,31 +160,29 @@
         }
         other
     }
-
-    fn is_in_doubt(&self, running: &Running, server: ServerId) -> bool {
-        running.exchange.progress() == Progress::Whole
-            && running.began.elapsed() < QUICK_ANSWER
-            && self.pool.borrow().answers_in_doubt(server, Instant::now())
-    }
 }
 
 impl Running {
     /// The exchange is over: the connection rests, if it may be used again, or is closed.
     ///
     /// One whose end was asked for never rests, whatever the server says of it by now: a request behind that one could
-    /// be dropped, and a copy of the answer could announce the end that was asked for.
+    /// be dropped, and a copy of the answer could announce the end that was asked for. Nor does one whose answer is not
+    /// remembered: a copy of that would be taken for the next request's answer.
     pub(in crate::upstream) fn end(self) {
-        match self.persistence {
-            Persistence::KeepAlive => self.lease.end(&self.exchange),
-            Persistence::Close => drop(spawn_local(self.close_after_server())),
+        match (self.persistence, self.answer) {
+            (Persistence::KeepAlive, Some(answer)) => self.lease.end(&self.exchange, answer),
+            (Persistence::KeepAlive, None) => self.lease.close(),
+            (Persistence::Close, _) => drop(spawn_local(self.close_after_server())),
         }
     }
 
     /// Reads to the end of an answer that belongs to an earlier request; the head of the one behind it.
     async fn next_head(&mut self) -> Result<ResponseHead, Broken> {
         let mut left = WHOLE;
-        while let Event::Data(piece) = self.event(false).await? {
-            left = left.checked_sub(piece.len()).ok_or(Broken)?;
+        while !self.exchange.answer_is_whole() {
+            if let Event::Data(piece) = self.event(false).await? {
+                left = left.checked_sub(piece.len()).ok_or(Broken)?;
+            }
         }
         self.exchange.skip_answer();
         match self.event(false).await? {
--- a/crates/millethook-engine/src/upstream/attempt/running.rs
+++ b/crates/millethook-engine/src/upstream/attempt/running.rs
@@ -7,6 +7,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use millethook_connect::answers::Fingerprint;
+use millethook_connect::pool::Matching;
 use millethook_connect::request::{LAST_CHUNK, PIECES, Persistence, chunk};
 use millethook_connect::{EncodedRequest, Event, Exchange, Execution, Failure, Progress};
 use smallvec::SmallVec;
@@ -33,10 +35,12 @@
 pub(in crate::upstream) struct Running {
     pub lease: Lease,
     pub exchange: Exchange,
-    /// When its first byte could go out.
-    pub began: Instant,
+    /// How its answer is told to be its own.
+    pub matching: Matching,
     /// What the request says of its connection.
     pub persistence: Persistence,
+    /// What its answer is remembered by; None: the connection carries no other request.
+    pub answer: Option<Fingerprint>,
     /// The request and its head, until all of it is out.
     message: Option<(Rc<AttemptRequest>, Vec<u8>)>,
     /// What has to hold until it may have run.
@@ -78,10 +82,17 @@
         gate: Gate,
         figures: Option<Rc<Figures>>,
     ) -> Running {
-        let began = Instant::now();
-        let message = Some(message);
-        let persistence = Persistence::KeepAlive;
-        Running { lease, exchange, began, persistence, message, gate, figures, following: None }
+        Running {
+            lease,
+            exchange,
+            matching: Matching::Trust,
+            persistence: Persistence::KeepAlive,
+            answer: None,
+            message: Some(message),
+            gate,
+            figures,
+            following: None,
+        }
     }
 
     /// Writes what may be written, and reads.
--- a/crates/millethook-engine/src/upstream/connection.rs
+++ b/crates/millethook-engine/src/upstream/connection.rs
@@ -12,6 +12,7 @@
 use bytes::BytesMut;
 use coppercart::api::ServerId;
 use millethook_connect::Exchange;
+use millethook_connect::answers::{CarriedAnswers, Fingerprint};
 use millethook_connect::pool::Look;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
@@ -20,7 +21,6 @@
 
 use super::Upstream;
 use crate::budget::Permit;
-use crate::stream;
 
 /// The most bytes of one read. More than an ordinary answer, so that one read tells that there is
 /// nothing more.
@@ -73,8 +73,7 @@
     /// What has come and is not yet used.
     pub buf: BytesMut,
     dial: SocketAddr,
-    /// It has carried an answer.
-    used: bool,
+    carried: CarriedAnswers,
     _permit: Permit,
 }
 
@@ -90,8 +89,13 @@
         let socket = timeout(patience, TcpStream::connect(dial)).await.ok()?.ok()?;
         let took = began.elapsed();
         socket.set_nodelay(true).ok()?;
-        let (buf, used) = (BytesMut::new(), false);
-        Some((Connection { socket, shared, buf, dial, used, _permit: permit }, took))
+        let (buf, carried) = (BytesMut::new(), CarriedAnswers::default());
+        Some((Connection { socket, shared, buf, dial, carried, _permit: permit }, took))
+    }
+
+    /// Whether it has carried an answer.
+    fn is_used(&self) -> bool {
+        !self.carried.is_empty()
     }
 
     /// How it is at this moment, while it rests; `dial` is where its server is.
@@ -145,11 +149,6 @@
         written
     }
 
-    /// Tells the server that nothing more will be written.
-    pub fn finish_writing(&self) {
-        stream::finish_writing(&self.socket);
-    }
-
     /// Reads some bytes into the buffer; 0: the server sends no more.
     pub fn poll_read(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
         let mut room = self.shared.read.borrow_mut();
@@ -175,7 +174,12 @@
 
     /// Whether the connection has carried an answer before.
     pub fn is_used(&self) -> bool {
-        self.connection.as_ref().is_some_and(|connection| connection.used)
+        self.connection.as_ref().is_some_and(Connection::is_used)
+    }
+
+    /// Whether the connection has carried an answer that equals this one.
+    pub fn has_carried(&self, answer: Fingerprint) -> bool {
+        self.connection.as_ref().is_some_and(|connection| connection.carried.contains(answer))
     }
 
     /// The connection; None once it is released.
@@ -192,7 +196,7 @@
     pub fn close(mut self) {
         let Some(connection) = self.connection.take() else { return };
         let stray = !connection.buf.is_empty();
-        if connection.used && !stray {
+        if connection.is_used() && !stray {
             self.upstream.used_quietly(self.server);
         }
         drop(connection);
@@ -206,20 +210,25 @@
         }
     }
 
-    /// The exchange is over: the connection rests, if it may be used again, or is closed.
-    pub fn end(mut self, exchange: &Exchange) {
+    /// The exchange is over, and brought this answer: the connection rests, if it may be used again, or is closed.
+    pub fn end(mut self, exchange: &Exchange, answer: Fingerprint) {
         let Some(mut connection) = self.connection.take() else { return };
-        if exchange.reusable(&connection.buf) {
-            // Danger: thousands of connections at rest, each with room for an answer, are memory.
-            connection.buf = BytesMut::new();
-            if std::mem::replace(&mut connection.used, true) {
-                self.upstream.used_quietly(self.server);
-            }
-            self.upstream.release(self.server, connection);
-        } else {
-            let stray = !connection.buf.is_empty();
-            self.upstream.discarded(self.server, stray);
+        let stray = !connection.buf.is_empty();
+        if !exchange.reusable(&connection.buf) {
+            drop(connection);
+            return self.upstream.discarded(self.server, stray);
+        }
+        if connection.is_used() {
+            self.upstream.used_quietly(self.server);
+        }
+        connection.carried.add(answer);
+        if connection.carried.is_full() {
+            drop(connection);
+            return self.upstream.discarded(self.server, false);
         }
+        // Danger: thousands of connections at rest, each with room for an answer, are memory.
+        connection.buf = BytesMut::new();
+        self.upstream.release(self.server, connection);
     }
 }
 
--- a/crates/millethook-engine/src/upstream/mod.rs
+++ b/crates/millethook-engine/src/upstream/mod.rs
@@ -17,7 +17,8 @@
 
 use coppercart::api::{Outcome, ServerId};
 use millethook_connect::Begins;
-use millethook_connect::pool::{Checkout, Counts, Ended, Limits, Look, Pool, Reuse};
+use millethook_connect::answers::{FingerprintKey, SeenAnswers};
+use millethook_connect::pool::{Checkout, Counts, Ended, Limits, Look, Matching, Pool, Reuse};
 use rustc_hash::FxHashMap;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
@@ -56,6 +57,9 @@
 /// All connections to servers.
 pub struct Upstream {
     pool: RefCell<Pool<ServerId, Connection>>,
+    fingerprints: FingerprintKey,
+    /// What was seen of answers, by the class's place in the settings.
+    answers: RefCell<SeenAnswers<usize, ServerId>>,
     sockets: Rc<Sockets>,
     names: Arc<Names>,
     config: UpstreamConfig,
@@ -79,6 +83,8 @@
     ) -> Rc<Upstream> {
         let upstream = Rc::new(Upstream {
             pool: RefCell::new(Pool::new(config.limits, config.reuse)),
+            fingerprints: FingerprintKey::default(),
+            answers: RefCell::default(),
             sockets,
             names,
             config,
@@ -182,19 +188,30 @@
         }
     }
 
-    /// A connection to `server`: one at rest and for how long it has rested, or a new one.
+    /// A connection to `server` for a request whose answer is told from others by `matching`: one at rest and for how long
+    /// it has rested, or a new one.
     ///
     /// Cancel safe: what it has taken by then is given back.
     async fn connection(
         self: &Rc<Upstream>,
         server: ServerId,
         dial: SocketAddr,
+        matching: Matching,
         patience: Duration,
     ) -> Result<(Lease, Option<Duration>), Outcome> {
         let began = Instant::now();
         let (until, mut now) = (began + CONNECTION_WAIT, began);
         loop {
-            let found = self.pool.borrow_mut().checkout(server, now, |c| c.look(dial));
+            let needs_new = self.pool.borrow().needs_new(server, matching, now);
+            let found = if needs_new {
+                self.pool.borrow_mut().checkout_new(server)
+            } else {
+                self.pool.borrow_mut().checkout(server, now, |c| c.look(dial))
+            };
+            let settling = || {
+                let until = self.pool.borrow().quarantined_until(server);
+                until.filter(|_| !needs_new)
+            };
             let settled = match found {
                 Checkout::Reuse(connection, rested) => {
                     self.spare(server, dial);
@@ -204,12 +221,11 @@
                 Checkout::Open => {
                     let opening = Opening { upstream: self, server, took: None };
                     // Meanwhile one that comes to rest here will do.
-                    let settling = self.pool.borrow().quarantined_until(server);
                     let permit = match self.sockets.servers.try_take() {
                         Some(permit) => Some(permit),
                         // One of its own is to be had sooner than another one's socket.
-                        None if settling.is_some() => None,
-                        None => self.scarce_permit(server, until).await?,
+                        None if settling().is_some() => None,
+                        None => self.scarce_permit(server, needs_new, until).await?,
                     };
                     match permit {
                         Some(permit) => {
@@ -219,7 +235,7 @@
                             let lease = Lease::new(self.clone(), server, connection);
                             return Ok((lease, None));
                         }
-                        None => self.pool.borrow().quarantined_until(server),
+                        None => settling(),
                     }
                 }
                 Checkout::Wait(settled) => settled,
@@ -239,10 +255,11 @@
         }
     }
 
-    /// A permit where none is free; None: a connection to `server` came to rest first.
+    /// A permit where none is free; None: a connection to `server` came to rest first, and will do.
     async fn scarce_permit(
         &self,
         server: ServerId,
+        needs_new: bool,
         until: Instant,
     ) -> Result<Option<Permit>, Outcome> {
         let waiting = Waiting::new(self, server);
@@ -259,6 +276,10 @@
                 biased;
                 permit = &mut taken => return permit.map(Some).ok_or(Outcome::Moot),
                 () = waiting.at.rested.notified() => {
+                    if needs_new {
+                        self.pool.borrow_mut().give_up_one();
+                        continue;
+                    }
                     // Danger: whoever left for nothing would free a handshake's place, wake the next
                     // one by that, and so on round all that wait.
                     if self.pool.borrow().quarantined_until(server).is_some() {
--- a/crates/millethook-engine/src/upstream/probe.rs
+++ b/crates/millethook-engine/src/upstream/probe.rs
@@ -35,7 +35,7 @@
         let request = Rc::new(AttemptRequest::page(&path, patience));
         let until = Instant::now() + patience;
         let gate = Gate { admission: Admission::new(), commit_by: Some(until) };
-        let asked = self.attempt((server, dial), &request, gate, until);
+        let asked = self.attempt((server, dial), None, &request, gate, until);
         let asked = timeout(patience + Duration::from_secs(1), asked).await;
         let Ok(AttemptOutcome::End { outcome, answer, .. }) = asked else {
             return (Outcome::TimedOut, LoadReport::default());
@@ -58,7 +58,7 @@
         let request = Rc::new(AttemptRequest::page(&trial.path, patience));
         let until = began + 2 * patience;
         let gate = Gate { admission: Admission::new(), commit_by: Some(until) };
-        let asked = self.attempt((host.id(), dial), &request, gate, until);
+        let asked = self.attempt((host.id(), dial), None, &request, gate, until);
         let Ok(AttemptOutcome::End { outcome, answer, .. }) = timeout(2 * patience, asked).await
         else {
             return TrialOutcome::Silent;
--- a/crates/millethook/src/config/builder.rs
+++ b/crates/millethook/src/config/builder.rs
@@ -185,7 +185,8 @@
     }
 
     /// For how many requests a connection is used ([`Reuse::Proven`] if not set: no caller gets an answer that was made for
-    /// another one, at a handshake for two requests). [`Reuse::Unlimited`] takes the answers of servers on trust.
+    /// another one, at a handshake for two requests). [`Reuse::Compared`] costs next to none where answers differ, and
+    /// misses a second answer with another body. [`Reuse::Unlimited`] trusts servers where answers do not differ.
     pub fn reuse(mut self, reuse: Reuse) -> FleetBuilder {
         self.connections["reuse"] = reuse.to_string().into();
         self
--- a/crates/plankvale/tests/conformance/main.rs
+++ b/crates/plankvale/tests/conformance/main.rs
@@ -7,6 +7,7 @@
 mod bodies;
 mod copies;
 mod ends;
+mod equal_answers;
 mod invalid;
 mod lists;
 mod outcomes;
