Budget: a call for a place goes to the other engines, not to the one that calls

Cause: an attempt without a place asks the other engines of its budget to close a connection at rest. All engines waited on one Notify, so the engine that asked heard itself. What had come to rest by then was closed, and a waiting attempt opened another one in its place.

Change: each engine has a Notify of its own (EnginePermits), and a call wakes the others. It is kept until it is heard. The test of calls between engines uses two EnginePermits where it used one object from both sides; what it asserts is the same.

--- a/crates/millethook-engine/src/budget.rs
+++ b/crates/millethook-engine/src/budget.rs
@@ -2,7 +2,7 @@
 //!
 //! Several engines of one process may share a budget: all of it may be used from any thread.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
@@ -27,7 +27,7 @@
     /// Connections of clients that are ending, and make room for others meanwhile.
     pub closing: Arc<Semaphore>,
     /// Connections to servers.
-    pub servers: Arc<ConnectionPermits>,
+    pub servers: EnginePermits,
 }
 
 /// A socket's place in the budget, given back when dropped.
@@ -45,13 +45,14 @@
             clients: Arc::new(Semaphore::new(clients)),
             client_permits: clients,
             closing: Arc::new(Semaphore::new(CLOSING)),
-            servers: ConnectionPermits::new(servers),
+            servers: EnginePermits::new(ConnectionPermits::new(servers)),
         }
     }
 
     /// For engines whose clients need no sockets: all places are for servers.
     pub fn of_servers(servers: Arc<ConnectionPermits>) -> Sockets {
         let none = || Arc::new(Semaphore::new(0));
+        let servers = EnginePermits::new(servers);
         Sockets { clients: none(), client_permits: 0, closing: none(), servers }
     }
 }
@@ -60,41 +61,70 @@
 pub struct ConnectionPermits {
     free: Arc<Semaphore>,
     total: usize,
-    /// Told when an engine finds no place, and nothing of its own at rest to give up for one.
-    wanted: Notify,
+    /// Each engine's [`EnginePermits::wanted`].
+    engines: Mutex<Vec<Weak<Notify>>>,
 }
 
 impl ConnectionPermits {
     /// So many places.
     pub fn new(total: usize) -> Arc<ConnectionPermits> {
         let free = Arc::new(Semaphore::new(total));
-        Arc::new(ConnectionPermits { free, total, wanted: Notify::new() })
+        Arc::new(ConnectionPermits { free, total, engines: Mutex::default() })
+    }
+
+    /// How many are taken.
+    pub fn taken(&self) -> usize {
+        self.total - self.free.available_permits()
+    }
+
+    fn engines(&self) -> MutexGuard<'_, Vec<Weak<Notify>>> {
+        self.engines.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The places for connections to servers as one engine sees them.
+pub struct EnginePermits {
+    all: Arc<ConnectionPermits>,
+    /// Told when another engine finds no place, and nothing of its own at rest to give up for one.
+    wanted: Arc<Notify>,
+}
+
+impl EnginePermits {
+    /// One engine more shares these places.
+    pub fn new(all: Arc<ConnectionPermits>) -> EnginePermits {
+        let wanted = Arc::new(Notify::new());
+        let mut engines = all.engines();
+        engines.retain(|engine| engine.strong_count() > 0);
+        engines.push(Arc::downgrade(&wanted));
+        drop(engines);
+        EnginePermits { all, wanted }
     }
 
     /// A place, if one is free.
     pub fn try_take(&self) -> Option<Permit> {
-        self.free.clone().try_acquire_owned().ok()
+        self.all.free.clone().try_acquire_owned().ok()
     }
 
     /// A place, if one becomes free within `wait`.
     pub async fn take(&self, wait: Duration) -> Option<Permit> {
-        timeout(wait, self.free.clone().acquire_owned()).await.ok()?.ok()
+        timeout(wait, self.all.free.clone().acquire_owned()).await.ok()?.ok()
     }
 
     /// Asks the other engines that share these places to give up a connection at rest.
+    ///
+    /// Danger: an engine that heard its own call would close a connection that has come to rest for its own requests.
     pub fn want(&self) {
-        self.wanted.notify_waiters();
+        for engine in self.all.engines().iter().filter_map(Weak::upgrade) {
+            if !Arc::ptr_eq(&engine, &self.wanted) {
+                engine.notify_one();
+            }
+        }
     }
 
     /// Waits until another engine wants a place.
     pub async fn wanted(&self) {
         self.wanted.notified().await;
     }
-
-    /// How many are taken.
-    pub fn taken(&self) -> usize {
-        self.total - self.free.available_permits()
-    }
 }
 
 /// The bytes that bodies of requests may take together.
--- a/crates/millethook-engine/tests/it/budget.rs
+++ b/crates/millethook-engine/tests/it/budget.rs
@@ -5,7 +5,7 @@
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
-use millethook_engine::budget::{Bytes, ConnectionPermits, LONGEST_BODY, Sockets};
+use millethook_engine::budget::{Bytes, ConnectionPermits, EnginePermits, LONGEST_BODY, Sockets};
 
 fn polled<F: Future>(future: std::pin::Pin<&mut F>) -> Poll<F::Output> {
     future.poll(&mut Context::from_waker(Waker::noop()))
@@ -71,13 +71,13 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_place_is_waited_for_and_asked_for() {
-    let places = ConnectionPermits::new(2);
+    let all = ConnectionPermits::new(2);
+    let (places, other) = (EnginePermits::new(all.clone()), EnginePermits::new(all.clone()));
     let (first, second) = (places.try_take().expect("one"), places.try_take().expect("two"));
     assert!(places.try_take().is_none());
-    assert_eq!(places.taken(), 2);
+    assert_eq!(all.taken(), 2);
     assert!(places.take(Duration::from_millis(50)).await.is_none(), "nobody gives one up");
     // Another engine hears that one is wanted, and gives up what rests.
-    let other = places.clone();
     let giving = tokio::spawn(async move {
         other.wanted().await;
         drop(second);
@@ -87,7 +87,30 @@
     let taken = places.take(Duration::from_secs(5)).await.expect("given up");
     giving.await.expect("no panic");
     drop((first, taken));
-    assert_eq!(places.taken(), 0);
+    assert_eq!(all.taken(), 0);
+}
+
+/// An engine that heard its own call would close a connection that its own requests need.
+#[test]
+fn an_engine_does_not_hear_its_own_call_for_a_place() {
+    let all = ConnectionPermits::new(1);
+    let (asking, other) = (EnginePermits::new(all.clone()), EnginePermits::new(all));
+    let (mut own, mut others) = (pin!(asking.wanted()), pin!(other.wanted()));
+    assert_eq!(polled(own.as_mut()), Poll::Pending);
+    assert_eq!(polled(others.as_mut()), Poll::Pending);
+    asking.want();
+    assert_eq!(polled(own), Poll::Pending, "its own call");
+    assert_eq!(polled(others), Poll::Ready(()), "another engine's call");
+}
+
+/// A call that came while the other engine was busy with an earlier one is not lost.
+#[test]
+fn a_call_for_a_place_is_kept_until_it_is_heard() {
+    let all = ConnectionPermits::new(1);
+    let (asking, other) = (EnginePermits::new(all.clone()), EnginePermits::new(all));
+    asking.want();
+    assert_eq!(polled(pin!(other.wanted())), Poll::Ready(()));
+    assert_eq!(polled(pin!(other.wanted())), Poll::Pending, "one call, heard once");
 }
 
 #[test]
--- a/crates/millethook/tests/library/sharing.rs
+++ b/crates/millethook/tests/library/sharing.rs
@@ -146,6 +146,34 @@
     assert!(most <= 8, "{most} connections");
 }
 
+/// A call for room is for other fleets of a budget: a fleet that heard its own would close connections which its own
+/// callers need, and open others in their place.
+#[test]
+fn callers_of_one_fleet_close_none_of_each_others_connections() {
+    let opened = Arc::new(AtomicUsize::new(0));
+    let count = opened.clone();
+    let server = Server::start(move |mut conn| {
+        count.fetch_add(1, Ordering::SeqCst);
+        while conn.message().is_some_and(|m| m.whole) {
+            std::thread::sleep(Duration::from_millis(2));
+            conn.send(ok("fine"));
+        }
+    });
+    let fleet = Fleet::open(keeping(&[server]).sockets(8).build().expect("sound")).expect("open");
+    runtime().block_on(async {
+        for _ in 0..40 {
+            let mut tasks = tokio::task::JoinSet::new();
+            for _ in 0..80 {
+                let fleet = fleet.clone();
+                tasks.spawn(async move { fleet.call(request("look")).await });
+            }
+            tasks.join_all().await;
+            nothing_held(&fleet).await;
+        }
+    });
+    assert_eq!(opened.load(Ordering::SeqCst), 8);
+}
+
 /// Without this, idle connections of one fleet keep another fleet out for good.
 #[test]
 fn fleets_of_one_budget_make_room_for_each_other() {
