Connections: news of one at rest goes to a request that can use it

Callers could be refused after 50 ms (503, never ran) beside a connection at rest, where handshakes with its server hang. Found by reading, which brought requests that need a new connection.

Cause: a connection that comes to rest wakes one waiter of its server. Requests that need a new one waited in the same line, had no use for it, and nobody behind them heard of it.

Change: they wait for a handshake's place alone. Where a server has as many connections as it may have, one that comes to rest counts as such a place, as it can be closed for a new one (Pool::has_room).

--- a/crates/millethook-connect/src/pool.rs
+++ b/crates/millethook-connect/src/pool.rs
@@ -136,6 +136,11 @@
         may_open && has_room
     }
 
+    /// Whether a server has fewer connections than it may have.
+    pub fn has_room(&self, key: K) -> bool {
+        self.servers.get(&key).is_none_or(|server| server.all() < self.limits.per_server)
+    }
+
     /// When the next of a server's connections at rest may be used; None: none rests.
     pub fn quarantined_until(&self, key: K) -> Option<Instant> {
         self.servers.get(&key)?.resting.iter().map(|resting| resting.quarantined_until).min()
--- a/crates/millethook-engine/src/upstream/mod.rs
+++ b/crates/millethook-engine/src/upstream/mod.rs
@@ -160,10 +160,20 @@
             drop(connection);
             return self.discarded(server, looked == Look::Stray);
         }
-        self.pool.borrow_mut().release(server, connection, Instant::now());
+        let has_room = {
+            let mut pool = self.pool.borrow_mut();
+            pool.release(server, connection, Instant::now());
+            pool.has_room(server)
+        };
         let waiters = self.waiting.borrow().get(&server).map(|(_, waiters)| waiters.clone());
         match waiters {
-            Some(waiters) => waiters.rested.notify_one(),
+            Some(waiters) => {
+                waiters.rested.notify_one();
+                // A request that needs a new connection may close this one for it.
+                if !has_room {
+                    waiters.room.notify_one();
+                }
+            }
             // Danger: what waits for a socket alone would not see that all of them rest.
             None if self.starved.get() > 0 => {
                 self.pool.borrow_mut().give_up_one();
@@ -243,7 +253,7 @@
             let waiting = Waiting::new(self, server);
             let at = settled.map_or(until, |settled| settled.min(until));
             tokio::select! {
-                () = waiting.at.rested.notified() => {}
+                () = waiting.at.rested.notified(), if !needs_new => {}
                 () = waiting.at.room.notified() => {}
                 () = sleep_until(at.into()) => {}
             }
@@ -351,9 +361,9 @@
 /// How attempts that wait for a connection to one server are woken.
 #[derive(Default)]
 struct Waiters {
-    /// One has come to rest.
+    /// One has come to rest. Who needs a new one does not wait for this: it would keep the news from those that do not.
     rested: Notify,
-    /// One may be opened.
+    /// One may be opened, perhaps in the place of one at rest.
     room: Notify,
 }
 
--- a/crates/millethook-testkit/src/lib.rs
+++ b/crates/millethook-testkit/src/lib.rs
@@ -30,7 +30,7 @@
 pub use server::{Log, Seen, Server, host, hosts, servers};
 pub use settings::settings_json;
 pub use stage::{Attempt, Stage};
-pub use unreachable::{Silent, refusing};
+pub use unreachable::{FullQueue, Silent, refusing, short_queue};
 pub use violations::{doubled, doubled_in_answer, violation, violations};
 pub use wait::{BOUND, next, within};
 pub use worker::{Cold, Worker};
--- a/crates/millethook-testkit/src/unreachable.rs
+++ b/crates/millethook-testkit/src/unreachable.rs
@@ -1,6 +1,6 @@
 //! Addresses to which no connection can be made: refused at once, or never accepted.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use crate::Conn;
@@ -9,8 +9,7 @@
 /// again is soon another test's, whose server would then see what was sent here.
 pub fn refusing() -> SocketAddr {
     static BOUND: Mutex<Vec<socket2::Socket>> = Mutex::new(Vec::new());
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
-    let socket = socket.expect("a socket");
+    let socket = tcp_socket();
     let any: SocketAddr = ([127, 0, 0, 1], 0).into();
     socket.bind(&any.into()).expect("a free port");
     let address = socket.local_addr().ok().and_then(|at| at.as_socket());
@@ -18,46 +17,61 @@
     address.expect("a bound address")
 }
 
+/// A listener whose queue has room for one connection.
+pub fn short_queue() -> TcpListener {
+    let socket = tcp_socket();
+    let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+    socket.bind(&any.into()).expect("a free port");
+    socket.listen(0).expect("a queue");
+    socket.into()
+}
+
+/// Clients that fill the queue of a [`short_queue`], whose owner has stopped accepting: no other connection comes up.
+pub struct FullQueue(Vec<socket2::Socket>);
+
+impl FullQueue {
+    /// Fills the queue of the listener at this address.
+    pub fn of(address: SocketAddr) -> FullQueue {
+        let queued = (0..4).map(|_| {
+            let client = tcp_socket();
+            client.set_nonblocking(true).expect("a socket's flag");
+            // Those that find no place in the queue go on trying.
+            let _ = client.connect(&address.into());
+            client
+        });
+        FullQueue(queued.collect())
+    }
+}
+
+fn tcp_socket() -> socket2::Socket {
+    let (domain, kind) = (socket2::Domain::IPV4, socket2::Type::STREAM);
+    socket2::Socket::new(domain, kind, None).expect("a socket")
+}
+
 /// An address at which connections never come up: its queue is full, and nobody accepts.
 pub struct Silent {
     /// The address.
     pub address: SocketAddr,
-    listener: socket2::Socket,
-    queued: Vec<socket2::Socket>,
+    listener: TcpListener,
+    queued: FullQueue,
 }
 
 impl Silent {
     /// Fills the queue of a new listener.
     pub fn start() -> Silent {
-        let socket = || {
-            let (domain, kind) = (socket2::Domain::IPV4, socket2::Type::STREAM);
-            socket2::Socket::new(domain, kind, None).expect("a socket")
-        };
-        let listener = socket();
-        let any: SocketAddr = ([127, 0, 0, 1], 0).into();
-        listener.bind(&any.into()).expect("a free port");
-        listener.listen(0).expect("a queue");
-        let address = listener.local_addr().ok().and_then(|a| a.as_socket());
-        let address = address.expect("a bound address");
-        let queued = (0..4).map(|_| {
-            let client = socket();
-            client.set_nonblocking(true).expect("a socket's flag");
-            // Those that find no place in the queue go on trying.
-            let _ = client.connect(&address.into());
-            client
-        });
-        Silent { address, queued: queued.collect(), listener }
+        let listener = short_queue();
+        let address = listener.local_addr().expect("a bound address");
+        Silent { address, queued: FullQueue::of(address), listener }
     }
 
     /// Accepts from now on: each connection that is not of the queue here gets `script`. One that was refused room
     /// comes up once its system tries again, a second or three after its first try.
     pub fn open(self, script: impl Fn(Conn) + Send + Sync + 'static) {
-        let listener: std::net::TcpListener = self.listener.into();
         let script = Arc::new(script);
-        let own: Vec<Option<SocketAddr>> = self.queued.iter().map(own_address).collect();
+        let own: Vec<Option<SocketAddr>> = self.queued.0.iter().map(own_address).collect();
         std::thread::spawn(move || {
             let _queued = self.queued;
-            for socket in listener.incoming().flatten() {
+            for socket in self.listener.incoming().flatten() {
                 if own.contains(&socket.peer_addr().ok()) {
                     continue;
                 }
--- a/crates/millethook/tests/library/main.rs
+++ b/crates/millethook/tests/library/main.rs
@@ -7,6 +7,7 @@
 mod members;
 mod meta;
 mod middleware;
+mod new_connections;
 mod runtime;
 mod sharing;
 mod view;
