Tests: a keyed request whose repeat on a new connection does not come off

A request whose answer equals an earlier one on its connection goes out once more on a new connection. Two hard cases of that had no test: the repeat is turned away, and the key's window is over.

No fault was found. Each test is red without the rule it is for: 'a repeat that never ran leaves a request that may have run' taken out, the caller is told that its request never ran (both tests red); the window not asked before the repeat, it runs twice (the second one red).

--- a/crates/plankvale/tests/conformance/equal_answers.rs
+++ b/crates/plankvale/tests/conformance/equal_answers.rs
@@ -1,7 +1,7 @@
 //! Answers that equal earlier ones on their connection: copies of any age, and answers that are rightly equal.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -15,6 +15,8 @@
     answers_that_are_rightly_equal_are_served,
     answers_that_become_equal_cost_one_request,
     a_connection_carries_many_answers_and_no_request_is_lost_at_its_end,
+    a_keyed_request_whose_repeat_is_turned_away_may_have_run,
+    a_keyed_request_is_not_repeated_behind_its_window,
 );
 
 /// What one connection does with a request: so many came on it before. None: it is over.
@@ -167,3 +169,74 @@
     assert!(connections > 1, "more answers than one connection can be trusted with");
     assert!(connections <= MOST_CONNECTIONS, "{connections} connections");
 }
+
+/// What a server does once it has answered the first [`WELL`] requests.
+type Turned = dyn Fn(&mut Conn, &str) + Send + Sync;
+
+const WELL: usize = 20;
+
+/// A server that answers the first requests well, and the next one on a used connection with a copy of the last answer, once so
+/// much time has gone by. From then on each request is answered as `turned` says. And the ids that it has seen.
+fn copies_one(after: Duration, turned: Arc<Turned>) -> (Server, Arc<Mutex<Vec<String>>>) {
+    let seen = Arc::new(Mutex::new(Vec::new()));
+    let ids = seen.clone();
+    let has_turned = AtomicBool::new(false);
+    let server = Server::start(move |mut conn| {
+        let mut last = None;
+        while let Some(message) = conn.message().filter(|message| message.whole) {
+            let nth = {
+                let mut ids = ids.lock().expect("no server panics");
+                ids.push(id(&message).to_owned());
+                ids.len()
+            };
+            if has_turned.load(Ordering::SeqCst) {
+                turned(&mut conn, id(&message));
+                continue;
+            }
+            let earlier = last.replace(ok(id(&message)));
+            match earlier.filter(|_| nth > WELL) {
+                Some(copy) => {
+                    has_turned.store(true, Ordering::SeqCst);
+                    thread::sleep(after);
+                    conn.send(copy);
+                }
+                None => conn.send(ok(id(&message))),
+            }
+        }
+    });
+    (server, seen)
+}
+
+/// Asks until an answer is not the request's own. How that request ended, and how often it was seen.
+fn first_copy<F: Form>(after: Duration, turned: Arc<Turned>) -> (End, usize) {
+    let (server, seen) = copies_one(after, turned);
+    let agent = Agent::start(hosts(&[server]));
+    // A second copy at the aim would be another attempt.
+    let config = config(agent.address, |config| {
+        config["settings"]["limits"]["mayDuplicate"] = false.into();
+    });
+    let form = F::start(&config);
+    let mut ends = (0..3 * WELL).flat_map(|_| asked(&form, std::iter::once(Ask::keyed())));
+    let (_, end) = ends.find(|(own, _)| !own).expect("a copy was sent");
+    let seen = seen.lock().expect("no server panics");
+    let last = seen.last().expect("requests");
+    (end, seen.iter().filter(|id| *id == last).count())
+}
+
+/// Guards against a caller who is told that its request never ran, as the repeat was turned away: the first one may have.
+fn a_keyed_request_whose_repeat_is_turned_away_may_have_run<F: Form>() {
+    let turned_away = |conn: &mut Conn, _: &str| {
+        conn.send(answer("503 Full", "x-unprocessed: 1\r\n", ""));
+    };
+    let (end, times) = first_copy::<F>(Duration::ZERO, Arc::new(turned_away));
+    assert!(times > 1, "it was repeated");
+    assert_eq!(end, End::Failed);
+}
+
+/// Guards against a second effect: behind the window servers do not know the key any more.
+fn a_keyed_request_is_not_repeated_behind_its_window<F: Form>() {
+    /// Longer than the class's window.
+    const AFTER: Duration = Duration::from_millis(750);
+    let own = |conn: &mut Conn, id: &str| conn.send(ok(id));
+    assert_eq!(first_copy::<F>(AFTER, Arc::new(own)), (End::Failed, 1));
+}
