Connections: what the comparison of answers left over goes

A look at the pool that nothing asks any more since the proof by closing went (Pool::answers_in_doubt), a closure that repeats AttemptOutcome::end, and a comment over the width. Behaviour stays.

--- a/crates/millethook-connect/src/pool.rs
+++ b/crates/millethook-connect/src/pool.rs
@@ -252,11 +252,6 @@
         }
     }
 
-    /// Whether an answer on a used connection may be a second copy of an earlier one, as far as is known.
-    pub fn answers_in_doubt(&self, key: K, now: Instant) -> bool {
-        self.servers.get(&key).is_none_or(|server| server.facts.answers_in_doubt(now))
-    }
-
     /// Whether an answer on a used connection has to be proven its request's own: always, or as the server has sent stray
     /// bytes lately.
     pub fn answers_need_proof(&self, key: K, now: Instant) -> bool {
--- a/crates/millethook-engine/src/driver/attempts.rs
+++ b/crates/millethook-engine/src/driver/attempts.rs
@@ -94,8 +94,7 @@
             self.pauses.look(now);
             self.pauses.running_time(begun, now).as_micros() as Micros
         };
-        let end =
-            |outcome| AttemptOutcome::End { outcome, report: LoadReport::default(), answer: None };
+        let end = |outcome| AttemptOutcome::end(outcome, LoadReport::default());
         let reached = {
             let upload = spec.upload.as_ref();
             let mut attempt =
--- a/crates/millethook-engine/src/upstream/attempt/own_answer.rs
+++ b/crates/millethook-engine/src/upstream/attempt/own_answer.rs
@@ -7,7 +7,8 @@
 //! - By its end: the request asks for the connection's end, and only an answer that announces the end is its own. An
 //!   earlier answer that had announced it would have been the connection's last one.
 //! - By its content: an answer that equals an earlier one on its connection is skipped. A request that must not run twice
-//!   waits for the one behind it; another one is repeated on a new connection. Each answer on the connection so far was its request's own, so one that differs from all of them is no copy.
+//!   waits for the one behind it; another one is repeated on a new connection. Each answer on the connection so far was
+//!   its request's own, so one that differs from all of them is no copy.
 //! - On trust: it is its request's own.
 //!
 //! In each case bytes behind the answer are looked at: where another answer that differs is there already, neither is
