Connections: new ones are opened in the order of the requests that need them

Callers whose answers are alike need a new connection each since answers are compared.

Cause: a handshake that ends wakes one waiter; one that has just come may take the place first, and the waiter goes behind all others.

Change: a fair semaphore for each server, as large as the limit of handshakes, gives turns to the requests that need a new connection. The limit, the wait and the pool stay as they are.

--- a/crates/millethook-engine/src/upstream/mod.rs
+++ b/crates/millethook-engine/src/upstream/mod.rs
@@ -20,9 +20,9 @@
 use millethook_connect::answers::{FingerprintKey, SeenAnswers};
 use millethook_connect::pool::{Checkout, Counts, Ended, Limits, Look, Matching, Pool, Reuse};
 use rustc_hash::FxHashMap;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::task::spawn_local;
-use tokio::time::sleep_until;
+use tokio::time::{sleep_until, timeout_at};
 
 use crate::budget::{Permit, Sockets};
 use crate::figures::Figures;
@@ -65,6 +65,8 @@
     config: UpstreamConfig,
     /// Attempts that wait for a connection to one server.
     waiting: RefCell<FxHashMap<ServerId, (usize, Rc<Waiters>)>>,
+    /// Turns of attempts that need a new connection to one server.
+    turns: RefCell<FxHashMap<ServerId, Arc<Semaphore>>>,
     /// Attempts that wait for a socket.
     starved: Cell<usize>,
     /// Whom connections at rest wake.
@@ -89,6 +91,7 @@
             names,
             config,
             waiting: RefCell::default(),
+            turns: RefCell::default(),
             starved: Cell::new(0),
             watcher: RefCell::new(Waker::noop().clone()),
             shared: Rc::default(),
@@ -122,6 +125,8 @@
                     let mut pool = self.pool.borrow_mut();
                     pool.watch(Instant::now(), |_| Look::Quiet);
                     pool.next_span();
+                    // Those that nobody holds or waits for.
+                    self.turns.borrow_mut().retain(|_, turns| Arc::strong_count(turns) > 1);
                 }
             }
         }
@@ -211,8 +216,14 @@
     ) -> Result<(Lease, Option<Duration>), Outcome> {
         let began = Instant::now();
         let (until, mut now) = (began + CONNECTION_WAIT, began);
+        let mut turn = None;
         loop {
             let needs_new = self.pool.borrow().needs_new(server, matching, now);
+            if needs_new && turn.is_none() {
+                turn = Some(self.turn(server, until).await?);
+                now = Instant::now();
+                continue;
+            }
             let found = if needs_new {
                 self.pool.borrow_mut().checkout_new(server)
             } else {
@@ -265,6 +276,22 @@
         }
     }
 
+    /// A turn to open a new connection to `server`, held until its handshake is over. Turns are taken in the order in which
+    /// attempts came: without this, who comes later passes those that wait, and they wait in vain.
+    async fn turn(
+        &self,
+        server: ServerId,
+        until: Instant,
+    ) -> Result<OwnedSemaphorePermit, Outcome> {
+        let turns = {
+            let mut turns = self.turns.borrow_mut();
+            let new = || Arc::new(Semaphore::new(self.config.limits.opening));
+            turns.entry(server).or_insert_with(new).clone()
+        };
+        let turn = timeout_at(until.into(), turns.acquire_owned()).await;
+        turn.ok().and_then(Result::ok).ok_or(Outcome::Moot)
+    }
+
     /// A permit where none is free; None: a connection to `server` came to rest first, and will do.
     async fn scarce_permit(
         &self,
--- a/crates/millethook/tests/library/new_connections.rs
+++ b/crates/millethook/tests/library/new_connections.rs
@@ -1,9 +1,12 @@
 //! Requests that need a new connection beside requests for which a used one will do.
 
+use std::collections::BTreeMap;
+use std::future::{Future, poll_fn};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
+use std::task::Poll;
 use std::thread::{self, JoinHandle};
 use std::time::Instant;
 
@@ -143,3 +146,56 @@
         needs_new.await.expect("no panic").expect("served on a new connection");
     });
 }
+
+/// A server whose answers are all equal: for each of its connections, in order, the first line of the request on it.
+fn first_lines() -> (SocketAddr, Arc<Mutex<BTreeMap<usize, String>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let lines = Arc::<Mutex<BTreeMap<_, _>>>::default();
+    let noted = lines.clone();
+    thread::spawn(move || {
+        for (nth, socket) in listener.incoming().flatten().enumerate() {
+            let noted = noted.clone();
+            thread::spawn(move || {
+                let mut conn = Conn::new(socket);
+                let Some(message) = conn.message().filter(|message| message.whole) else { return };
+                noted.lock().expect("no panic").insert(nth, message.first.clone());
+                conn.send(ok("done"));
+            });
+        }
+    });
+    (address, lines)
+}
+
+/// Guards against callers who wait for a new connection in vain, as those that come later pass them.
+#[test]
+fn new_connections_are_opened_in_the_order_of_their_requests() {
+    const REQUESTS: usize = 300;
+    let (address, lines) = first_lines();
+    let config = builder(&name(), &[]).server("s-0", address).reuse(Reuse::Compared);
+    let config = config.handshakes_per_server(1).build().expect("sound");
+    let fleet = Fleet::open(config).expect("open");
+    runtime().block_on(async {
+        let mut calls: Vec<_> = (0..REQUESTS)
+            .map(|n| {
+                let mut request = request("order");
+                *request.uri_mut() = format!("/order/{n}").parse().expect("sound");
+                Box::pin(fleet.call(request))
+            })
+            .collect();
+        for call in &mut calls {
+            let begun = poll_fn(|cx| Poll::Ready(call.as_mut().poll(cx))).await;
+            assert!(begun.is_pending(), "the engine has a thread of its own");
+            // The engine may take what comes at once in any order.
+            fleet.usage().await.expect("the fleet lives");
+        }
+        for call in calls {
+            let _ = call.await;
+        }
+    });
+    let lines = lines.lock().expect("no panic");
+    let number = |line: &String| line.split(['/', ' ']).nth(3)?.parse::<usize>().ok();
+    let order: Vec<usize> = lines.values().map(|line| number(line).expect("a number")).collect();
+    assert!(order.len() > REQUESTS / 10, "{} went out", order.len());
+    assert!(order.is_sorted(), "{order:?}");
+}
