Tests: the order of new connections is told also where a call ends at once

The engine has a thread of its own, so one may, where the test's thread stands still in between. Such a call is not awaited again; what is asserted of the order is the same.

--- a/crates/millethook/tests/library/new_connections.rs
+++ b/crates/millethook/tests/library/new_connections.rs
@@ -176,20 +176,19 @@
     let config = config.handshakes_per_server(1).build().expect("sound");
     let fleet = Fleet::open(config).expect("open");
     runtime().block_on(async {
-        let mut calls: Vec<_> = (0..REQUESTS)
-            .map(|n| {
-                let mut request = request("order");
-                *request.uri_mut() = format!("/order/{n}").parse().expect("sound");
-                Box::pin(fleet.call(request))
-            })
-            .collect();
-        for call in &mut calls {
+        let mut waiting = Vec::new();
+        for n in 0..REQUESTS {
+            let mut request = request("order");
+            *request.uri_mut() = format!("/order/{n}").parse().expect("sound");
+            let mut call = Box::pin(fleet.call(request));
             let begun = poll_fn(|cx| Poll::Ready(call.as_mut().poll(cx))).await;
-            assert!(begun.is_pending(), "the engine has a thread of its own");
+            if begun.is_pending() {
+                waiting.push(call);
+            }
             // The engine may take what comes at once in any order.
             fleet.usage().await.expect("the fleet lives");
         }
-        for call in calls {
+        for call in waiting {
             let _ = call.await;
         }
     });
