--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -182,6 +182,8 @@
     Break,
     /// It knows the key of the request, and answers without running it again.
     Known(String),
+    /// No client of its service sent this: 400, as the protocol page says.
+    Unknown,
     /// It refuses without running it: 503 and `X-Unprocessed: 1`.
     TurnAway,
 }
@@ -323,6 +325,13 @@
                     return;
                 }
             }
+            Act::Unknown => {
+                log.line(format!("server {name} answers 400: no client of its fleet sent {what}"));
+                let refusal = "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n";
+                if socket.write_all(refusal.as_bytes()).is_err() {
+                    return;
+                }
+            }
             Act::TurnAway => {
                 log.line(format!("server {name} turns away {what}, not run"));
                 let refusal =
