--- a/review/standins/src/bin/shared_folder.rs
+++ b/review/standins/src/bin/shared_folder.rs
@@ -76,6 +76,8 @@
         for sidecar in &mut fleet.sidecars {
             sidecar.start()?;
         }
+        // A store is named by its process's number and the millisecond of its start, and those of two fleets differ.
+        sleep(Duration::from_secs(1));
     }
     for fleet in &mut fleets {
         for sidecar in &mut fleet.sidecars {
