Review: a block of ports for each run of a case

Cause: runs side by side could take one another's ports between the look and the use.

Change: review/standins-2 takes ports from a block that follows from the process id; a wait until all are ready has a name.

--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -112,18 +112,18 @@
 }
 
 static NEXT_PORT: AtomicU64 = AtomicU64::new(0);
+/// Ports of one run; runs side by side have other ones, as their process ids differ.
+const PORTS: u64 = 100;
+const FIRST_PORT: u64 = 15_000;
+const BLOCKS: u64 = 170;
 
 /// A port that is free for TCP and UDP, each time another one. It lies below the ports that the system gives to outgoing
 /// connections, so it stays free while nobody listens there.
 fn free_port() -> SocketAddr {
-    let _ = NEXT_PORT.compare_exchange(
-        0,
-        unix_ms().wrapping_mul(7919) ^ u64::from(std::process::id()).wrapping_mul(104_729),
-        Ordering::SeqCst,
-        Ordering::SeqCst,
-    );
-    for _ in 0..10_000 {
-        let port = 15_000 + NEXT_PORT.fetch_add(1, Ordering::SeqCst) % 17_000;
+    let first = FIRST_PORT + u64::from(std::process::id()) % BLOCKS * PORTS;
+    for _ in 0..BLOCKS * PORTS {
+        let next = first + NEXT_PORT.fetch_add(1, Ordering::SeqCst);
+        let port = FIRST_PORT + (next - FIRST_PORT) % (BLOCKS * PORTS);
         let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
         if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
@@ -801,9 +801,8 @@
             case: case.clone(),
         };
         (0..count).for_each(|n| fleet.start_one(n, classes));
-        let ready =
-            case.wait("all sidecars are ready", seconds(10.0), || fleet.daemons.iter().flatten().all(Daemon::is_ready));
         // Signals come no sooner than after the first second of a process.
+        let ready = fleet.wait_until_ready();
         thread::sleep(seconds(2.0));
         ready.then_some(fleet)
     }
@@ -815,6 +814,12 @@
         self.daemons[n] = Some(daemon);
     }
 
+    /// Waits until all running sidecars are ready.
+    pub fn wait_until_ready(&self) -> bool {
+        let ready = || self.daemons.iter().flatten().all(Daemon::is_ready);
+        self.case.wait("all sidecars are ready", seconds(10.0), ready)
+    }
+
     /// LB_CONFIG of one sidecar.
     pub fn config(&self, n: usize, classes: &[Class]) -> String {
         let (listen, admin) = self.addresses[n];
