--- a/crates/millethook-testkit/src/server.rs
+++ b/crates/millethook-testkit/src/server.rs
@@ -31,7 +31,14 @@
 impl Server {
     /// Starts a server that runs `script` for each connection in a thread of its own.
     pub fn start(script: impl Fn(Conn) + Send + Sync + 'static) -> Server {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Server::start_on(TcpListener::bind("127.0.0.1:0").unwrap(), script)
+    }
+
+    /// Like [`Server::start`], on a listener of the test.
+    pub fn start_on(
+        listener: TcpListener,
+        script: impl Fn(Conn) + Send + Sync + 'static,
+    ) -> Server {
         let address = listener.local_addr().unwrap();
         let script = Arc::new(script);
         thread::spawn(move || {
--- /dev/null
+++ b/crates/plankvale/tests/sidecar/slow_servers.rs
@@ -0,0 +1,172 @@
+//! Servers that pause within their answers, or read long requests slowly or not at all.
+
+use std::io::Read;
+use std::net::TcpListener;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use millethook_testkit::*;
+use socket2::{Domain, Socket, Type};
+
+/// The time that requests state, and how long after it an answer is late but not lost.
+const TIME_LEFT: Duration = Duration::from_millis(900);
+const LATE_ANSWER: Duration = Duration::from_millis(550);
+/// Sound servers pause for this long within an answer.
+const PAUSE: Duration = Duration::from_millis(160);
+
+fn request(class: &str, body: &[u8]) -> Vec<u8> {
+    let key = if class == "keep" { "Idempotency-Key: 5c0f\r\n" } else { "" };
+    let mut request = format!(
+        "POST /{class} HTTP/1.1\r\nHost: app.svc\r\n{}{key}Content-Length: {}\r\n\r\n",
+        common_headers(),
+        body.len()
+    )
+    .into_bytes();
+    request.extend_from_slice(body);
+    request
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Framing {
+    Length,
+    Chunked,
+    Close,
+}
+
+/// Writes the head, pauses, and writes the body in four parts with a pause in between.
+fn answer_with_pauses(conn: &mut Conn, framing: Framing, body: &[u8]) {
+    let field = match framing {
+        Framing::Length => format!("Content-Length: {}", body.len()),
+        Framing::Chunked => "Transfer-Encoding: chunked".to_owned(),
+        Framing::Close => "Connection: close".to_owned(),
+    };
+    conn.send(format!("HTTP/1.1 200 OK\r\n{field}\r\n\r\n"));
+    for part in body.chunks(body.len().div_ceil(4)) {
+        thread::sleep(PAUSE);
+        match framing {
+            Framing::Chunked => {
+                conn.send([format!("{:x}\r\n", part.len()).as_bytes(), part, b"\r\n"].concat());
+            }
+            Framing::Length | Framing::Close => conn.send(part),
+        }
+    }
+    if matches!(framing, Framing::Chunked) {
+        conn.send("0\r\n\r\n");
+    }
+}
+
+#[test]
+fn answers_with_pauses_of_sound_servers_are_not_cut_off() {
+    for framing in [Framing::Length, Framing::Chunked, Framing::Close] {
+        for length in [60_000, 200_000] {
+            let (list, log, _) = servers(2, move |mut conn, seen| {
+                answer_with_pauses(&mut conn, framing, &vec![b'a'; length]);
+                let goes_on = !matches!(framing, Framing::Close) && seen.message.complete;
+                goes_on.then_some(conn)
+            });
+            let (sidecar, _agent) = Sidecar::with_servers(&list);
+            for class in ["order", "keep"] {
+                let mut client = sidecar.client();
+                client.send(request(class, b"body"));
+                let head = client.head().expect("an answer");
+                assert_eq!(head.status(), 200, "{class} {framing:?} {length}");
+                let delimited = head.header("content-length").is_some()
+                    || head.header("transfer-encoding").is_some();
+                assert!(delimited, "{class} {framing:?} {length}");
+                let answer = client.rest_of(head);
+                assert!(
+                    answer.complete && answer.body.len() == length,
+                    "{class} {framing:?}: {} of {length}",
+                    answer.body.len()
+                );
+            }
+            assert_eq!(log.count(), 2, "{framing:?} {length}: attempts");
+        }
+    }
+}
+
+/// A server that takes this many bytes of each connection and then as many in each round of 100 ms as `per_round`
+/// says.
+fn slowly_reading_server(first: usize, per_round: usize) -> Server {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(16 << 10).unwrap();
+    socket.bind(&std::net::SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    socket.listen(128).unwrap();
+    Server::start_on(TcpListener::from(socket), move |mut conn| {
+        let read = |conn: &mut Conn, n| {
+            let mut bytes = vec![0; n];
+            conn.socket.read_exact(&mut bytes).is_ok()
+        };
+        if !read(&mut conn, first) {
+            return;
+        }
+        let end = Instant::now() + Duration::from_secs(8);
+        while Instant::now() < end {
+            thread::sleep(Duration::from_millis(100));
+            if per_round > 0 && !read(&mut conn, per_round) {
+                return;
+            }
+        }
+    })
+}
+
+/// Sends a long request as fast as the sidecar takes it, and returns the time from when the whole of it is in the
+/// system's buffers until the answer, with its status.
+fn answer_time(sidecar: &Sidecar, class: &str, length: usize) -> (Duration, u16) {
+    let mut client = sidecar.client();
+    let mut socket = client.socket.try_clone().unwrap();
+    let request = request(class, &vec![b'x'; length]);
+    thread::scope(|scope| {
+        let sent = scope.spawn(move || {
+            use std::io::Write;
+            let started = Instant::now();
+            // If the answer comes before the whole request is taken, the time is counted from the start.
+            socket.write_all(&request).map_or(started, |()| Instant::now())
+        });
+        let answer = client.message();
+        let answered = Instant::now();
+        // Wakes a client that is still writing.
+        let _ = client.socket.shutdown(std::net::Shutdown::Both);
+        let sent = sent.join().unwrap();
+        (answered.saturating_duration_since(sent), answer.map_or(0, |answer| answer.status()))
+    })
+}
+
+#[test]
+fn long_requests_that_servers_read_slowly_are_answered_in_time() {
+    for (first, per_round) in [(25_000, 0), (25_000, 9_000)] {
+        let list =
+            [slowly_reading_server(first, per_round), slowly_reading_server(first, per_round)];
+        let (sidecar, _agent) = Sidecar::with_servers(&list);
+        thread::scope(|scope| {
+            for class in ["order", "keep"] {
+                for length in [250_000, 3_000_000, 6_000_000] {
+                    let sidecar = &sidecar;
+                    scope.spawn(move || {
+                        let (time, status) = answer_time(sidecar, class, length);
+                        let what = format!("{class} {length} {per_round}: {status} after {time:?}");
+                        assert!(time < TIME_LEFT + LATE_ANSWER, "{what}");
+                        assert!([502, 503].contains(&status), "{what}");
+                    });
+                }
+            }
+        });
+    }
+}
+
+/// A client that takes longer for its body than it will wait for the answer is not cut off by a server that keeps up.
+#[test]
+fn a_slowly_written_long_request_has_its_whole_time_from_its_last_byte_on() {
+    let (list, _, _) = servers(1, |mut conn, _| {
+        thread::sleep(TIME_LEFT / 2);
+        conn.send(ok("fine"));
+        Some(conn)
+    });
+    let (sidecar, _agent) = Sidecar::with_servers(&list);
+    let mut client = sidecar.client();
+    for part in request("order", &vec![b'x'; 300_000]).chunks(15_000) {
+        client.send(part);
+        thread::sleep(TIME_LEFT / 10);
+    }
+    assert_eq!(client.message().expect("an answer").status(), 200);
+}
