Plan clients, bodies and answers by the memory limit, and refuse in time beyond it

What callers saw: beside 600 clients that stop within their bodies, write slowly or read answers slowly, a process with 32 MB passed its limit, and ordinary clients got their answers 1.7 to 4.1 s after the request (1.45 s allowed).

Cause: how many clients were let in followed from descriptors alone, each with a read buffer of 32 KiB, and only request bodies were charged (0.4 of the limit). Nothing charged buffered answers, and the task of each connection held an 8 KiB array that only a closing one needs. A body of five bytes reserved a chunk of 64 KiB and waited for it without end, behind clients that had stopped.

Change: MemoryPlan divides the limit. Buffers are smaller where memory is short, clients are as many as have room, buffered answers are charged (one without room is passed on at its client's pace), the first 4 KiB of a body need no budget, and a wait for memory ends with a refusal when the client's time may be up: it runs from the last time at which all that had arrived was read. Where all places are held by requests, new connections get a refusal in place of no answer. The plan is logged, and refusals and evictions are counted.

Ruled out: more allocator arenas (the runtime has one thread); kills in series as the cause.

Buffers of sockets are the system's and are not counted.

--- a/crates/millethook-admin/src/statsd.rs
+++ b/crates/millethook-admin/src/statsd.rs
@@ -3,6 +3,7 @@
 use std::fmt::{Display, Write};
 
 use millethook_engine::Engine;
+use millethook_engine::figures::Counter;
 
 /// The prefix of each metric name.
 const PREFIX: &str = "sidecar";
@@ -38,6 +39,9 @@
     }
     let servers = engine.driver.server_counts();
     lines.count("forwards", engine.figures.attempts_written());
+    for counter in Counter::ALL {
+        lines.count(counter.name(), engine.figures.counted(counter));
+    }
     lines.gauge("outstanding", engine.driver.outstanding());
     lines.gauge("discovered", servers.listed);
     lines.gauge("ejected", servers.avoided);
--- a/crates/millethook-engine/src/budget.rs
+++ b/crates/millethook-engine/src/budget.rs
@@ -38,9 +38,21 @@
     /// idle. A client has one open request, but its retry or hedge may need a second socket before the first one is
     /// released. So servers get as many as clients and a few more.
     pub fn new(limit: usize) -> Sockets {
+        Sockets::with_max_clients(limit, MAX_CONNECTIONS)
+    }
+
+    /// Number of client connections for which there are descriptors, if `limit` are allowed.
+    pub fn client_share(limit: usize) -> usize {
+        let available = limit.saturating_sub(RESERVED_DESCRIPTORS);
+        (available * 4 / 9).clamp(4, MAX_CONNECTIONS)
+    }
+
+    /// Like [`Sockets::new`], with at most `max_clients` connections of clients.
+    pub fn with_max_clients(limit: usize, max_clients: usize) -> Sockets {
         let available = limit.saturating_sub(RESERVED_DESCRIPTORS);
-        let clients = (available * 4 / 9).clamp(4, MAX_CONNECTIONS);
-        let servers = (available - clients.min(available)).clamp(4, MAX_CONNECTIONS);
+        let share = Sockets::client_share(limit);
+        let servers = (available - share.min(available)).clamp(4, MAX_CONNECTIONS);
+        let clients = share.min(max_clients);
         Sockets {
             clients: Arc::new(Semaphore::new(clients)),
             client_permits: clients,
@@ -165,7 +177,7 @@
         ByteReservation { id: state.next_id, shared_bytes: 0, budget: Some(self.clone()) }
     }
 
-    /// Number of bytes in use, without those that a leader takes from the reserve.
+    /// Number of bytes in use, without those that the leader takes from its reserve.
     pub fn in_use(&self) -> usize {
         self.total - self.state().free_bytes
     }
@@ -206,6 +218,20 @@
     }
 }
 
+impl ByteReservation {
+    /// Takes more bytes if they are available now. Returns whether they are taken.
+    pub fn try_grow(&mut self, bytes: usize) -> bool {
+        let Some(budget) = &self.budget else { return true };
+        let mut state = budget.state();
+        if state.free_bytes < bytes {
+            return false;
+        }
+        state.free_bytes -= bytes;
+        self.shared_bytes += bytes;
+        true
+    }
+}
+
 impl Drop for ByteReservation {
     fn drop(&mut self) {
         let Some(budget) = &self.budget else { return };
--- a/crates/millethook-engine/src/driver/mod.rs
+++ b/crates/millethook-engine/src/driver/mod.rs
@@ -269,6 +269,11 @@
         self.remove_if_finished(id);
     }
 
+    /// Counts since the start.
+    pub fn figures(&self) -> &Figures {
+        &self.figures
+    }
+
     /// What the engine has in progress and holds.
     pub fn usage(&self) -> Usage {
         let state = self.state.borrow();
--- a/crates/millethook-engine/src/engine.rs
+++ b/crates/millethook-engine/src/engine.rs
@@ -55,6 +55,8 @@
     pub connections: Limits,
     /// How many requests a connection carries. `None`: derived from the cost of a handshake in `settings`.
     pub reuse: Option<Reuse>,
+    /// Bytes that are read from a server at once.
+    pub server_read_bytes: usize,
     /// How to reach the other sidecars, if configured.
     pub peers: Option<PeerConfig>,
     /// Settings of the fleet view. `None`: there is none.
@@ -157,6 +159,7 @@
                     ..config.connections
                 },
                 reuse: config.reuse.unwrap_or_else(|| default_reuse(&config.settings)),
+                read_bytes: config.server_read_bytes,
             },
         );
         let mode = config.settings.discovery;
--- a/crates/millethook-engine/src/figures.rs
+++ b/crates/millethook-engine/src/figures.rs
@@ -34,6 +34,43 @@
     pub aborted: u64,
 }
 
+/// Why connections and requests were refused or cut off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Counter {
+    /// Connections that were accepted only to refuse their request, as all clients were in the middle of theirs.
+    SurplusClients,
+    /// Clients' connections that were closed to make room for others.
+    EvictedClients,
+    /// Requests that were refused because there was no memory for their bodies.
+    BodiesWithoutMemory,
+    /// Requests with long bodies that failed because their server did not read them in time.
+    UploadsNotTaken,
+    /// Answers that broke off, or were no valid answers.
+    IncompleteAnswers,
+}
+
+impl Counter {
+    /// All counters, in the order of their declaration.
+    pub const ALL: [Counter; 5] = [
+        Counter::SurplusClients,
+        Counter::EvictedClients,
+        Counter::BodiesWithoutMemory,
+        Counter::UploadsNotTaken,
+        Counter::IncompleteAnswers,
+    ];
+
+    /// The name of its metric.
+    pub fn name(self) -> &'static str {
+        match self {
+            Counter::SurplusClients => "clients.surplus",
+            Counter::EvictedClients => "clients.evicted",
+            Counter::BodiesWithoutMemory => "bodies.without_memory",
+            Counter::UploadsNotTaken => "uploads.not_taken",
+            Counter::IncompleteAnswers => "answers.incomplete",
+        }
+    }
+}
+
 #[derive(Debug)]
 struct ClassFigures {
     name: String,
@@ -47,6 +84,7 @@
     /// The line of each class, by its index in the settings.
     by_index: RefCell<Vec<Rc<ClassFigures>>>,
     attempts: Cell<u64>,
+    counters: [Cell<u64>; Counter::ALL.len()],
 }
 
 impl Figures {
@@ -110,6 +148,17 @@
         self.attempts.get()
     }
 
+    /// Counts one more event.
+    pub fn count(&self, counter: Counter) {
+        let cell = &self.counters[counter as usize];
+        cell.set(cell.get() + 1);
+    }
+
+    /// The events of this kind since the start.
+    pub fn counted(&self, counter: Counter) -> u64 {
+        self.counters[counter as usize].get()
+    }
+
     /// All classes that were ever in the settings, with their counts.
     pub fn by_class(&self) -> Vec<(String, Dispositions)> {
         self.lines.borrow().iter().map(|l| (l.name.clone(), l.counts.get())).collect()
--- a/crates/millethook-engine/src/lib.rs
+++ b/crates/millethook-engine/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod leases;
 pub mod list_clock;
 pub mod membership_store;
+pub mod memory;
 pub mod names;
 pub mod peers;
 pub mod product;
--- a/crates/millethook-engine/src/stream.rs
+++ b/crates/millethook-engine/src/stream.rs
@@ -15,6 +15,8 @@
 pub trait Observer {
     /// Bytes were received; an empty slice means that the peer has closed its side.
     fn on_read(&self, _bytes: &[u8]) {}
+    /// All bytes that have arrived are read.
+    fn on_drained(&self) {}
     /// The system accepted these bytes.
     fn on_write(&self, _bytes: &[u8]) {}
     /// Nothing is left to be written.
@@ -48,7 +50,7 @@
                     self.observer.on_read(&buf.filled()[before..]);
                     return Poll::Ready(Ok(()));
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => continue,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.observer.on_drained(),
                 Err(e) => return Poll::Ready(Err(e)),
             }
         }
--- a/crates/millethook-engine/src/upstream/attempt/buffered.rs
+++ b/crates/millethook-engine/src/upstream/attempt/buffered.rs
@@ -46,7 +46,8 @@
         if head.length.is_some_and(|length| length > max_bytes) {
             return Err(IncompleteAnswer);
         }
-        let (mut buffer, started) = (BodyBuffer::default(), Instant::now());
+        let mut buffer = BodyBuffer::new(request.answer_budget.as_ref());
+        let (started, mut has_room) = (Instant::now(), true);
         loop {
             let is_long = match head.length {
                 Some(length) => {
@@ -58,11 +59,12 @@
                         || (buffer.len() >= SLOW_ANSWER_MIN_BYTES && is_slow())
                 }
             };
-            if is_long {
+            // An answer for which there is no room is passed on at its client's pace.
+            if is_long || (!has_room && buffer.len() >= COMPARED_BODY_BYTES) {
                 return Ok(BufferedAnswer::Prefix(buffer.take()));
             }
             match active.event(request.streaming).await? {
-                Event::Data(piece) => buffer.push(piece),
+                Event::Data(piece) => has_room = buffer.push(piece),
                 Event::End => return Ok(BufferedAnswer::Complete(buffer.take())),
                 Event::Head(_) => return Err(IncompleteAnswer),
             }
--- a/crates/millethook-engine/src/upstream/attempt/request.rs
+++ b/crates/millethook-engine/src/upstream/attempt/request.rs
@@ -1,12 +1,13 @@
 //! What an attempt sends.
 
 use std::cell::Cell;
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::{HeaderMap, Method, Uri};
 use millethook_connect::EncodedRequest;
 
-use crate::budget::ByteReservation;
+use crate::budget::{ByteBudget, ByteReservation};
 use crate::upload::Upload;
 
 /// The fraction of the aim that a handshake may take. A connection that never came up has carried nothing, so another
@@ -27,6 +28,8 @@
     pub aim: Duration,
     /// The part of the byte budget that the body takes.
     pub reservation: ByteReservation,
+    /// The budget for its buffered answer. `None`: whoever gets the answer accounts for it.
+    pub answer_budget: Option<Arc<ByteBudget>>,
     /// The rest of a body that exceeds the buffer.
     pub upload: Option<Upload>,
     /// The request has its answer, or its client has gone; no further attempt may begin.
@@ -46,6 +49,7 @@
             streaming: false,
             aim: connect_timeout * HANDSHAKE_AIM_DIVISOR,
             reservation: ByteReservation::default(),
+            answer_budget: None,
             upload: None,
             withdrawn: Cell::default(),
         }
--- a/crates/millethook-engine/src/upstream/connection.rs
+++ b/crates/millethook-engine/src/upstream/connection.rs
@@ -22,9 +22,6 @@
 use super::Upstream;
 use crate::budget::Permit;
 
-/// The most bytes of one read. It is larger than an ordinary answer, so that one read is enough.
-const READ_BUFFER_BYTES: usize = 16 << 10;
-
 /// System calls on connections since the start. Reads that found nothing are not counted.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SystemCalls {
@@ -46,16 +43,12 @@
     read_buffer: RefCell<Box<[u8]>>,
 }
 
-impl Default for SharedIo {
-    fn default() -> SharedIo {
-        SharedIo {
-            calls: Cell::default(),
-            read_buffer: RefCell::new(vec![0; READ_BUFFER_BYTES].into()),
-        }
+impl SharedIo {
+    /// Creates a buffer for reads of at most `read_bytes`.
+    pub fn new(read_bytes: usize) -> SharedIo {
+        SharedIo { calls: Cell::default(), read_buffer: RefCell::new(vec![0; read_bytes].into()) }
     }
-}
 
-impl SharedIo {
     /// The system calls so far.
     pub fn calls(&self) -> SystemCalls {
         self.calls.get()
--- a/crates/millethook-engine/src/upstream/mod.rs
+++ b/crates/millethook-engine/src/upstream/mod.rs
@@ -55,6 +55,8 @@
     pub limits: Limits,
     /// How many requests a connection carries.
     pub reuse: Reuse,
+    /// Bytes that are read from a server at once.
+    pub read_bytes: usize,
 }
 
 /// All connections to servers.
@@ -97,7 +99,7 @@
             opening_slots: RefCell::default(),
             socket_waiters: Cell::new(0),
             idle_waker: RefCell::new(Waker::noop().clone()),
-            shared: Rc::default(),
+            shared: Rc::new(SharedIo::new(config.read_bytes)),
             figures,
         });
         spawn_local(upstream.clone().watch_idle());
--- a/crates/millethook-engine/tests/cost.rs
+++ b/crates/millethook-engine/tests/cost.rs
@@ -13,6 +13,7 @@
 use millethook_engine::budget::{ByteReservation, ConnectionPermits, Sockets};
 use millethook_engine::driver::{Reply, RequestHead};
 use millethook_engine::list::List;
+use millethook_engine::memory::MAX_SERVER_READ_BYTES;
 use millethook_engine::names::Names;
 use millethook_engine::upstream::{AttemptRequest, SystemCalls};
 use millethook_engine::{Engine, EngineConfig};
@@ -42,6 +43,7 @@
         connections: Limits::default(),
         // The test measures the cost of a used connection.
         reuse: Some(Reuse::Unlimited),
+        server_read_bytes: MAX_SERVER_READ_BYTES,
         peers: None,
         fleet: None,
         distribution: None,
@@ -62,6 +64,7 @@
         streaming: false,
         aim,
         reservation: ByteReservation::default(),
+        answer_budget: None,
         upload: None,
         withdrawn: Default::default(),
     };
--- a/crates/millethook-engine/tests/it/budget.rs
+++ b/crates/millethook-engine/tests/it/budget.rs
@@ -8,6 +8,7 @@
 use millethook_engine::budget::{
     ByteBudget, ConnectionPermits, EnginePermits, MAX_BODY_BYTES, Sockets,
 };
+use millethook_engine::memory::{CLIENT_BODY_BYTES, MemoryPlan};
 
 fn polled<F: Future>(future: std::pin::Pin<&mut F>) -> Poll<F::Output> {
     future.poll(&mut Context::from_waker(Waker::noop()))
@@ -137,3 +138,24 @@
         assert!(servers >= sockets.client_permits, "{limit}");
     }
 }
+
+#[test]
+fn the_parts_of_a_memory_limit_do_not_exceed_it() {
+    for memory_mb in [16, 32, 64, 192] {
+        for descriptors in [256, 1024, 4096] {
+            let wanted = Sockets::client_share(descriptors);
+            let plan = MemoryPlan::new(memory_mb << 20, wanted);
+            let per_client = CLIENT_BODY_BYTES + 2 * plan.client_buffer_bytes;
+            let parts = plan.max_clients * per_client + plan.buffered_bytes;
+            assert!(parts < memory_mb << 20, "{memory_mb} MB, {descriptors}: {plan:?}");
+            assert!((1..=wanted).contains(&plan.max_clients), "{memory_mb} MB, {descriptors}");
+        }
+    }
+}
+
+/// Clients hold at most a third of the descriptors for requests.
+#[test]
+fn the_least_memory_has_room_for_the_clients_of_all_descriptors() {
+    let plan = MemoryPlan::new(32 << 20, Sockets::client_share(1024));
+    assert!(plan.max_clients >= 1024 / 3, "{plan:?}");
+}
--- a/crates/millethook-http/src/answer.rs
+++ b/crates/millethook-http/src/answer.rs
@@ -41,6 +41,7 @@
         streaming: request_head.streaming,
         aim: request_head.aim,
         reservation: account,
+        answer_budget: None,
         upload,
         withdrawn: Default::default(),
     }
--- a/crates/millethook-http/src/body.rs
+++ b/crates/millethook-http/src/body.rs
@@ -14,10 +14,12 @@
 use millethook_engine::driver::StreamingReply;
 use millethook_engine::upload::{UploadError, UploadSender};
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at};
 
-/// Size of the chunks in which bodies are buffered.
-const CHUNK_BYTES: usize = 64 << 10;
+/// Size of the chunks in which a body is buffered and charged.
+const CHUNK_BYTES: usize = 16 << 10;
+/// Size of the frames in which bodies usually arrive.
+const FRAME_BYTES: usize = 8 << 10;
 
 /// Lowest average rate at which a client may send a body. Clients on weak links send at 64 kB/s; a quarter
 /// of that is slower than any usable link.
@@ -33,6 +35,8 @@
     TooLong,
     /// The body arrives more slowly than [`StallBudget`] allows.
     TooSlow,
+    /// No memory was available for the body in time. The client may have sent all of it.
+    NoMemory,
     /// The connection failed before the end of the body.
     Broken(E),
 }
@@ -82,6 +86,16 @@
     }
 }
 
+/// Limits on a request body.
+#[derive(Clone, Copy, Debug)]
+pub struct BodyLimits {
+    /// The longest body.
+    pub max_bytes: u64,
+    /// Bytes that are buffered without being charged, because they are part of what a connection may take. Shorter
+    /// bodies never wait for others.
+    pub uncharged_bytes: usize,
+}
+
 /// The buffered part of a body.
 #[derive(Debug)]
 pub enum BufferedBody {
@@ -94,34 +108,43 @@
 /// Buffers a body, with its memory charged to `account`: the complete body, or its first [`MAX_BODY_BYTES`]
 /// bytes up to the end of the frame in which that limit is exceeded.
 ///
-/// Memory is reserved before the bytes are read, because otherwise many clients that send at the same time
-/// would overdraw the budget. Unread bytes wait at the client.
+/// Memory is reserved before the bytes are buffered, because otherwise many clients that send at the same time
+/// would overdraw the budget. Unread bytes wait at the client. `due` says until when memory may be waited for:
+/// the client may have sent everything by now, and then it waits for its answer already.
 ///
 /// # Errors
-/// Fails if the announced length exceeds `max_bytes`, the body arrives too slowly, or the connection fails.
+/// Fails if the announced length exceeds `max_bytes`, the body arrives too slowly, there is no memory for it in
+/// time, or the connection fails.
 ///
 /// If the future is dropped, the reserved memory stays with `account`, which releases it.
 pub async fn buffer_body<B>(
     body: &mut B,
-    max_bytes: u64,
+    limits: BodyLimits,
     account: &mut ByteReservation,
     stall_budget: &mut StallBudget,
+    due: impl Fn() -> Instant,
 ) -> Result<BufferedBody, ReadError<B::Error>>
 where
     B: Body + Unpin,
 {
     let mut pieces = Vec::new();
-    let mut piece = BytesMut::new();
     let mut room = MAX_BODY_BYTES;
     // A body that is announced as too long is rejected without waiting for it.
-    if body.size_hint().lower() > max_bytes {
+    if body.size_hint().lower() > limits.max_bytes {
         return Err(ReadError::TooLong);
     }
     if body.is_end_stream() {
         return Ok(BufferedBody::Complete(pieces));
     }
-    account.grow(CHUNK_BYTES).await;
+    let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    let mut piece = BytesMut::with_capacity(limits.uncharged_bytes.min(announced));
+    let mut free_bytes = limits.uncharged_bytes;
     let partial = loop {
+        // Otherwise each frame that waits for memory would take some of its own.
+        let nothing_read = free_bytes == limits.uncharged_bytes;
+        if free_bytes < next_frame_bytes(body, nothing_read.then_some(free_bytes)) {
+            grow(account, &mut free_bytes, &due).await?;
+        }
         let frame = stall_budget.wait(body.frame()).await.ok_or(ReadError::TooSlow)?;
         let Some(frame) = frame else { break false };
         let Ok(mut data) = frame.map_err(ReadError::Broken)?.into_data() else { continue };
@@ -130,12 +153,17 @@
         while data.has_remaining() {
             // Copies into full chunks: if each received frame were kept as it is, a body that arrives byte
             // by byte would take many times its size in memory.
-            let n = data.remaining().min(CHUNK_BYTES - piece.len());
-            piece.put(data.copy_to_bytes(n));
-            if piece.len() == CHUNK_BYTES {
-                pieces.push(std::mem::take(&mut piece).freeze());
-                account.grow(CHUNK_BYTES).await;
+            if free_bytes == 0 {
+                grow(account, &mut free_bytes, &due).await?;
+            }
+            if piece.len() == piece.capacity() {
+                let chunk = BytesMut::with_capacity(free_bytes.min(CHUNK_BYTES));
+                let full = std::mem::replace(&mut piece, chunk);
+                pieces.extend((!full.is_empty()).then(|| full.freeze()));
             }
+            let n = data.remaining().min(piece.capacity() - piece.len()).min(free_bytes);
+            free_bytes -= n;
+            piece.put(data.copy_to_bytes(n));
         }
         match after {
             Some(after) => room = after,
@@ -148,6 +176,27 @@
     Ok(if partial { BufferedBody::Partial(pieces) } else { BufferedBody::Complete(pieces) })
 }
 
+/// Room that the next frame of a body may need. `first`: what is assumed for the first frame of a body of unknown
+/// length, which may be short.
+fn next_frame_bytes(body: &impl Body, first: Option<usize>) -> usize {
+    match body.size_hint().exact() {
+        Some(rest) => usize::try_from(rest).unwrap_or(usize::MAX).min(FRAME_BYTES),
+        None => first.filter(|&first| first > 0).unwrap_or(FRAME_BYTES),
+    }
+}
+
+/// Charges one more chunk, once there is memory for it.
+async fn grow<E>(
+    account: &mut ByteReservation,
+    free_bytes: &mut usize,
+    due: &impl Fn() -> Instant,
+) -> Result<(), ReadError<E>> {
+    let growth = timeout_at(due().into(), account.grow(CHUNK_BYTES)).await;
+    growth.map_err(|_| ReadError::NoMemory)?;
+    *free_bytes += CHUNK_BYTES;
+    Ok(())
+}
+
 /// Framing of the request to the server, for a body of which `buffered` bytes have been read.
 pub fn framing(body: &impl Body, buffered: u64) -> Framing {
     body.size_hint().exact().map_or(Framing::Chunked, |rest| Framing::Length(buffered + rest))
--- a/crates/millethook-http/src/ingress/client.rs
+++ b/crates/millethook-http/src/ingress/client.rs
@@ -20,6 +20,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// A client that reads nothing of its answer for this long is disconnected.
 const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a connection for which there is no room may take for the head of its request.
+const SURPLUS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Interval between two checks for stalled connections.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -52,6 +54,8 @@
     /// The connection holds a client permit. A connection that is closing may hold a closing permit
     /// instead.
     pub holds_client_permit: Cell<bool>,
+    /// There is no room for this connection: it gets a refusal and is closed.
+    pub is_surplus: Cell<bool>,
     /// Number of answers sent on this connection.
     pub answer_count: Cell<u32>,
     /// Scan of the head that is being read.
@@ -60,6 +64,10 @@
     pub phase_since: Cell<Instant>,
     pub last_transfer: Cell<Instant>,
     pub close_request: Notify,
+    /// Everything that has arrived is read.
+    is_drained: Cell<bool>,
+    /// The last time at which bytes arrived while nothing was unread. Bytes read later may have been sent by then.
+    last_arrival: Cell<Instant>,
 }
 
 impl Client {
@@ -71,14 +79,23 @@
             close_delimited: Cell::new(false),
             has_written: Cell::new(false),
             holds_client_permit: Cell::new(true),
+            is_surplus: Cell::new(false),
             answer_count: Cell::new(0),
             head_scan: RefCell::default(),
             phase_since: Cell::new(now),
             last_transfer: Cell::new(now),
             close_request: Notify::new(),
+            is_drained: Cell::new(true),
+            last_arrival: Cell::new(now),
         }
     }
 
+    /// The earliest time at which the client may have sent the bytes that were read last. What arrives while the
+    /// connection is not read waits in the system's buffers, and the client's time runs meanwhile.
+    pub fn last_arrival(&self) -> Instant {
+        self.last_arrival.get()
+    }
+
     pub fn enter_phase(&self, phase: Phase) {
         self.phase.set(phase);
         self.phase_since.set(Instant::now());
@@ -102,6 +119,9 @@
     pub fn is_stalled(&self) -> bool {
         let (since_transfer, in_phase) =
             (self.last_transfer.get().elapsed(), self.phase_since.get().elapsed());
+        if self.is_surplus.get() && !self.has_request() && in_phase > SURPLUS_TIMEOUT {
+            return true;
+        }
         match self.phase.get() {
             Phase::ReadingBody | Phase::AwaitingAnswer | Phase::Closing => false,
             Phase::Idle => {
@@ -115,7 +135,11 @@
 
 impl Observer for Client {
     fn on_read(&self, bytes: &[u8]) {
-        self.last_transfer.set(Instant::now());
+        let now = Instant::now();
+        self.last_transfer.set(now);
+        if self.is_drained.replace(false) {
+            self.last_arrival.set(now);
+        }
         if !bytes.is_empty() && self.phase.get() == Phase::Idle {
             self.enter_phase(Phase::ReadingHead);
             self.head_scan.replace(HeadScan::default());
@@ -125,6 +149,10 @@
         }
     }
 
+    fn on_drained(&self) {
+        self.is_drained.set(true);
+    }
+
     fn on_write(&self, _bytes: &[u8]) {
         self.has_written.set(true);
         self.last_transfer.set(Instant::now());
@@ -134,6 +162,8 @@
         if self.answer_complete.replace(false) && self.phase.get() == Phase::WritingAnswer {
             self.answer_count.set(self.answer_count.get().saturating_add(1));
             self.enter_phase(Phase::Idle);
+            // The next request is sent once the client has this answer.
+            self.last_arrival.set(Instant::now());
         }
     }
 }
--- a/crates/millethook-http/src/ingress/close.rs
+++ b/crates/millethook-http/src/ingress/close.rs
@@ -13,6 +13,8 @@
 /// How long a closed connection is still read, so that data that the client is sending does not destroy its
 /// answer.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Bytes that are read at once.
+const READ_BYTES: usize = 8 << 10;
 /// Bytes that are read before a pause, and the length of the pause.
 const LINGER_CHUNK_BYTES: usize = 64 << 10;
 const LINGER_PAUSE: Duration = Duration::from_millis(5);
@@ -40,7 +42,8 @@
     }
     stream::finish_writing(socket);
     let drained = async {
-        let mut buf = [0; 8192];
+        // On the heap, because an array would be part of every connection's task for as long as it is open.
+        let mut buf = vec![0; READ_BYTES];
         let mut read = 0;
         loop {
             match socket.try_read(&mut buf) {
--- a/crates/millethook-http/src/ingress/eviction.rs
+++ b/crates/millethook-http/src/ingress/eviction.rs
@@ -2,7 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use millethook_engine::budget::Permit;
+use millethook_engine::budget::{Permit, Sockets};
+use millethook_engine::figures::Counter;
 use tokio::time::timeout;
 
 use super::Ingress;
@@ -22,6 +23,8 @@
 /// How long an evicted connection has to be closed by its client, before the next eviction closes it even over
 /// unread data. Under a flood of clients that ignore the close, at most 500 permits a second become free.
 const EVICTION_WAIT: Duration = Duration::from_millis(2);
+/// How long a new connection waits for the place of another one.
+const ADMISSION_WAIT: Duration = Duration::from_millis(100);
 
 impl Client {
     /// Rank for eviction when permits run out; the lowest is evicted first. None means that the connection
@@ -66,7 +69,52 @@
     }
 }
 
+/// Permission to accept one more connection.
+pub(super) enum Admission {
+    /// As a client.
+    Client(Permit),
+    /// Only to refuse its request: all clients are in the middle of theirs. The permit is one of those for
+    /// connections that are closing.
+    Surplus(Permit),
+}
+
+impl Admission {
+    /// Admits a client if there is room for it by now.
+    pub fn now(self, sockets: &Sockets) -> Admission {
+        match (self, sockets.clients.clone().try_acquire_owned()) {
+            (Admission::Surplus(_), Ok(permit)) => Admission::Client(permit),
+            (admission, _) => admission,
+        }
+    }
+}
+
 impl Ingress {
+    /// Waits until one more connection may be accepted. Without surplus connections, new clients would wait without
+    /// an answer for as long as slow clients keep all permits.
+    pub(super) async fn admit(&self) -> Admission {
+        loop {
+            if let Ok(permit) = timeout(ADMISSION_WAIT, self.acquire_permit()).await {
+                return Admission::Client(permit);
+            }
+            if let Ok(permit) = self.sockets.closing.clone().try_acquire_owned() {
+                return Admission::Surplus(permit);
+            }
+            self.evict_closing_surplus();
+        }
+    }
+
+    /// Closes the surplus connection that has been closing for longest.
+    fn evict_closing_surplus(&self) {
+        let clients = self.clients.borrow();
+        let first = clients
+            .values()
+            .filter(|client| client.is_surplus.get() && client.phase.get() == Phase::Closing)
+            .min_by_key(|client| client.phase_since.get());
+        if let Some(client) = first {
+            client.close_request.notify_one();
+        }
+    }
+
     /// Acquires a client permit for one more connection. If none is available, a connection without a
     /// request in progress is evicted.
     pub(super) async fn acquire_permit(&self) -> Permit {
@@ -119,6 +167,9 @@
             .filter_map(|client| Some((client.eviction_rank()?, client)))
             .min_by_key(|candidate| candidate.0);
         if let Some((_, client)) = first {
+            if client.phase.get() != Phase::Closing {
+                self.driver.figures().count(Counter::EvictedClients);
+            }
             client.close_request.notify_one();
         }
     }
--- a/crates/millethook-http/src/ingress/mod.rs
+++ b/crates/millethook-http/src/ingress/mod.rs
@@ -20,6 +20,7 @@
 use hyper_util::rt::TokioIo;
 use millethook_engine::budget::{self, Permit, Sockets};
 use millethook_engine::driver::Driver;
+use millethook_engine::figures::Counter;
 use millethook_engine::names::Names;
 use millethook_engine::stream::{self, Stream};
 use tokio::io::Interest;
@@ -30,10 +31,8 @@
 use crate::guard::RequestIdRegistry;
 
 use client::{Client, Phase, wait_for_close_request, wait_until_stalled};
+use eviction::Admission;
 
-/// Most bytes that hyper reads ahead, which also limits the length of a head. Each client may fill this
-/// much.
-const MAX_READ_BUFFER: usize = 32 << 10;
 /// Pause before the next accept when the system has run out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
@@ -43,6 +42,8 @@
     names: RefCell<Arc<Names>>,
     sockets: Rc<Sockets>,
     bytes: Arc<budget::ByteBudget>,
+    /// Bytes that hyper reads ahead from a client, which also limits the length of a head.
+    client_buffer_bytes: usize,
     ids: Rc<RequestIdRegistry>,
     clients: RefCell<HashMap<u64, Rc<Client>>>,
     accepted: Cell<(u64, Instant)>,
@@ -79,11 +80,12 @@
         driver: Rc<Driver>,
         names: Arc<Names>,
         sockets: Rc<Sockets>,
-        bytes: Arc<budget::ByteBudget>,
+        (bytes, client_buffer_bytes): (Arc<budget::ByteBudget>, usize),
         ids: Rc<RequestIdRegistry>,
     ) -> Rc<Ingress> {
         Rc::new(Ingress {
             ids,
+            client_buffer_bytes,
             driver,
             names: RefCell::new(names),
             sockets,
@@ -176,11 +178,11 @@
     /// Accepts clients for as long as the future is polled.
     pub async fn accept(self: Rc<Ingress>, listener: TcpListener) {
         loop {
-            let permit = self.acquire_permit().await;
+            let admission = self.admit().await;
             match listener.accept().await {
                 Ok((socket, _)) => {
                     self.accepted.set((self.accepted.get().0, Instant::now()));
-                    self.spawn_client(socket, permit, false);
+                    self.spawn_client(socket, admission.now(&self.sockets), false);
                 }
                 Err(e) => {
                     // A failed accept, for lack of file descriptors or because the client has already
@@ -196,14 +198,28 @@
     /// Adopts a connection that another process passed on. Waits for a client permit.
     pub async fn adopt(self: &Rc<Ingress>, socket: TcpStream, was_answered: bool) {
         let permit = self.acquire_permit().await;
-        self.spawn_client(socket, permit, was_answered);
+        self.spawn_client(socket, Admission::Client(permit), was_answered);
     }
 
-    fn spawn_client(self: &Rc<Ingress>, socket: TcpStream, permit: Permit, was_answered: bool) {
+    fn spawn_client(
+        self: &Rc<Ingress>,
+        socket: TcpStream,
+        admission: Admission,
+        was_answered: bool,
+    ) {
         let (number, last) = self.accepted.get();
         self.accepted.set((number + 1, last));
         let client = Client::new();
         client.answer_count.set(was_answered.into());
+        let permit = match admission {
+            Admission::Client(permit) => permit,
+            Admission::Surplus(permit) => {
+                client.is_surplus.set(true);
+                client.holds_client_permit.set(false);
+                self.driver.figures().count(Counter::SurplusClients);
+                permit
+            }
+        };
         tokio::task::spawn_local(self.clone().serve_connection(
             number,
             socket,
@@ -226,7 +242,7 @@
         let io = TokioIo::new(Stream::new(socket.clone(), client.clone()));
         let service = service_fn(|request| self.clone().serve(client.clone(), request));
         let mut connection = http1::Builder::new()
-            .max_buf_size(MAX_READ_BUFFER)
+            .max_buf_size(self.client_buffer_bytes)
             .header_read_timeout(None)
             .serve_connection(io, service);
         let close_reason = loop {
@@ -262,12 +278,13 @@
         // Without this, when permits run out, each connection that was asked to close keeps its permit for
         // as long as its client likes, and all clients that wait to be accepted wait for that.
         let permit = match self.sockets.closing.clone().try_acquire_owned() {
-            Ok(closing) => {
+            // A surplus connection has had such a permit from the start.
+            Ok(closing) if !client.is_surplus.get() => {
                 client.holds_client_permit.set(false);
                 drop(permit);
                 closing
             }
-            Err(_) => permit,
+            _ => permit,
         };
         // A connection that was passed on belongs to the successor. It stays open there when it is dropped
         // here.
--- a/crates/millethook-http/src/ingress/serve.rs
+++ b/crates/millethook-http/src/ingress/serve.rs
@@ -11,14 +11,16 @@
 use hyper::header::{self, HeaderValue};
 use hyper::{Request, Response, StatusCode, Version};
 use millethook_engine::driver::{Reply, RequestHead};
+use millethook_engine::figures::Counter;
+use millethook_engine::memory::CLIENT_BODY_BYTES;
 use millethook_engine::upload::{MAX_UPLOAD_BYTES, Upload, UploadError};
 
 use super::Ingress;
 use super::client::{Client, Phase};
 use crate::answer::{self, AnswerBody};
 use crate::body::{
-    BufferedBody, ClientGone, ForwardError, ReadError, StallBudget, buffer_body, forward_rest,
-    framing,
+    BodyLimits, BufferedBody, ClientGone, ForwardError, ReadError, StallBudget, buffer_body,
+    forward_rest, framing,
 };
 use crate::edge::{CONTEXT, Receipt, StoreOutcome};
 use crate::guard::HeadScan;
@@ -27,6 +29,10 @@
 /// `Retry-After` for a request that had to wait for a stored write that it comes after, in vain.
 const PREDECESSOR_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Limits on the bodies of clients' requests.
+const BODY_LIMITS: BodyLimits =
+    BodyLimits { max_bytes: MAX_UPLOAD_BYTES, uncharged_bytes: CLIENT_BODY_BYTES };
+
 impl Ingress {
     pub(super) async fn serve(
         self: Rc<Ingress>,
@@ -41,7 +47,11 @@
             client.head_scan.replace(HeadScan::default());
         }
         let is_http_10 = request.version() == Version::HTTP_10;
-        let (mut response, close_after) = match self.answer_request(&client, request).await? {
+        let answered = match client.is_surplus.get() {
+            true => Ok(Answered::Reply(refused_reply(None))),
+            false => self.answer_request(&client, request).await?,
+        };
+        let (mut response, close_after) = match answered {
             Ok(Answered::Reply(reply)) => (reply_response(reply), false),
             Ok(Answered::Stored(receipt)) => (receipt_response(receipt), false),
             // Data that follows a malformed request cannot be parsed either.
@@ -51,6 +61,7 @@
             }
         };
         // With a successor, the connection goes on there.
+        let close_after = close_after || client.is_surplus.get();
         if close_after || (self.request_cutoff.get().is_some() && self.successor.borrow().is_none())
         {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -107,9 +118,14 @@
         client.enter_phase(Phase::ReadingBody);
         let (mut body, mut stall_budget) = (body, StallBudget::new());
         let mut account = self.bytes.reservation();
+        let due = || client.last_arrival() + request_head.left;
         let buffered =
-            match buffer_body(&mut body, MAX_UPLOAD_BYTES, &mut account, &mut stall_budget).await {
+            match buffer_body(&mut body, BODY_LIMITS, &mut account, &mut stall_budget, due).await {
                 Ok(buffered) => buffered,
+                Err(ReadError::NoMemory) => {
+                    self.driver.figures().count(Counter::BodiesWithoutMemory);
+                    return Ok(Ok(Answered::Reply(refused_reply(None))));
+                }
                 Err(e) => return read_error_status(e).map(Err),
             };
         // The request was not sent to any server, and dropping the reservation frees its id.
@@ -118,9 +134,9 @@
         }
         client.enter_phase(Phase::AwaitingAnswer);
         reservation.commit();
-        let accepted_at = Instant::now();
+        let sent_at = client.last_arrival();
         self.driver.wait_for_current_list().await;
-        let left = request_head.left.saturating_sub(accepted_at.elapsed());
+        let left = request_head.left.saturating_sub(sent_at.elapsed());
         let request_head = RequestHead { left, ..request_head };
         let pieces = match buffered {
             BufferedBody::Complete(pieces) => {
@@ -151,8 +167,9 @@
                             left: left_at.1.saturating_sub(left_at.0.elapsed()),
                             ..request_head
                         };
-                        let attempt_request =
+                        let mut attempt_request =
                             answer::attempt_request(head, &request_head, pieces, account, None);
+                        attempt_request.answer_budget = Some(self.bytes.clone());
                         let mut ticket = self.driver.request(request_head, attempt_request);
                         drop(names);
                         let reply = ticket.reply().await;
@@ -182,7 +199,9 @@
         let length: u64 = pieces.iter().map(|piece| piece.len() as u64).sum();
         let (upload, rest) = Upload::new(request_head.left);
         let upload = Some((upload, framing(&body, length)));
-        let attempt_request = answer::attempt_request(head, &request_head, pieces, account, upload);
+        let mut attempt_request =
+            answer::attempt_request(head, &request_head, pieces, account, upload);
+        attempt_request.answer_budget = Some(self.bytes.clone());
         let mut ticket = self.driver.request(request_head, attempt_request);
         drop(names);
         let forwarded = {
@@ -213,6 +232,7 @@
     match e {
         ReadError::TooLong => Ok(StatusCode::PAYLOAD_TOO_LARGE),
         ReadError::TooSlow => Ok(StatusCode::REQUEST_TIMEOUT),
+        ReadError::NoMemory => Ok(StatusCode::SERVICE_UNAVAILABLE),
         ReadError::Broken(_) => Err(ClientGone),
     }
 }
--- a/crates/millethook/src/fleet.rs
+++ b/crates/millethook/src/fleet.rs
@@ -13,7 +13,8 @@
 use millethook_engine::upload::{MAX_UPLOAD_BYTES, Upload, UploadError};
 use millethook_http::answer;
 use millethook_http::body::{
-    BufferedBody, ForwardError, ReadError, StallBudget, buffer_body, forward_rest, framing,
+    BodyLimits, BufferedBody, ForwardError, ReadError, StallBudget, buffer_body, forward_rest,
+    framing,
 };
 use millethook_view::Counts;
 use tokio::sync::oneshot;
@@ -50,6 +51,9 @@
     }
 }
 
+/// Limits on the bodies of calls. All of their bytes are charged.
+const BODY_LIMITS: BodyLimits = BodyLimits { max_bytes: MAX_UPLOAD_BYTES, uncharged_bytes: 0 };
+
 impl Fleet {
     /// Opens a fleet: the engine that is open in this process under the configuration's name, or a new
     /// one. Blocks while a thread starts and, if a fleet of this name is just ending, until that has
@@ -111,13 +115,15 @@
         let mut body_bytes = shared.bytes.reservation();
         // The host's body may stall; only the request's timeout bounds the read.
         let (mut body, mut stalls) = (Box::pin(body), StallBudget::unbounded());
-        let buffering = buffer_body(&mut body, MAX_UPLOAD_BYTES, &mut body_bytes, &mut stalls);
+        let buffering = buffer_body(&mut body, BODY_LIMITS, &mut body_bytes, &mut stalls, || until);
         let buffered = match timeout_at(until.into(), buffering).await {
             Ok(Ok(buffered)) => buffered,
             Ok(Err(ReadError::TooLong)) => return Err(too_large()),
             Ok(Err(ReadError::Broken(e))) => return Err(Error::Body(e.into())),
             // The request has timed out before it was sent.
-            Ok(Err(ReadError::TooSlow)) | Err(_) => return Err(refused_unsent()),
+            Ok(Err(ReadError::TooSlow | ReadError::NoMemory)) | Err(_) => {
+                return Err(refused_unsent());
+            }
         };
         let left = request_head.left;
         let (pieces, rest) = match buffered {
--- a/crates/millethook/src/thread.rs
+++ b/crates/millethook/src/thread.rs
@@ -9,6 +9,7 @@
 use millethook_engine::budget::{ConnectionPermits, Sockets};
 use millethook_engine::driver::{Driver, Reply, RequestHead, Usage};
 use millethook_engine::list::List;
+use millethook_engine::memory::MAX_SERVER_READ_BYTES;
 use millethook_engine::upstream::AttemptRequest;
 use millethook_engine::{Engine, EngineConfig, PeerConfig};
 use millethook_http::guard::RequestIdRegistry;
@@ -81,6 +82,7 @@
         begins: config.begins,
         connections: config.connections,
         reuse: config.reuse,
+        server_read_bytes: MAX_SERVER_READ_BYTES,
         // Instances of the library exchange datagrams for the view only.
         peers: config.view.as_ref().and(config.peers.clone()).map(|(listen, peers)| PeerConfig {
             listen,
--- a/crates/plankvale/src/lib.rs
+++ b/crates/plankvale/src/lib.rs
@@ -23,6 +23,7 @@
 use millethook_connect::pool::Limits;
 use millethook_engine::budget::{ByteBudget, Sockets};
 use millethook_engine::distribution::Distribution;
+use millethook_engine::memory::MemoryPlan;
 use millethook_engine::product;
 use millethook_engine::{Engine, EngineConfig, PeerConfig};
 use millethook_handover::inherited;
@@ -44,8 +45,6 @@
 
 /// Length of the listen queue. Many clients may connect within the same second.
 const LISTEN_BACKLOG: i32 = 4096;
-/// Share of the process's memory limit that request bodies may take.
-const BODY_MEMORY_SHARE: f64 = 0.4;
 
 /// Limit on how long the final write of each snapshot may delay the exit.
 const FINAL_WRITE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -97,7 +96,17 @@
     let membership_store = product::membership_store_config(&config.product, &config.name)?;
     let connections = product::connection_limits(&config.product, Limits::default());
     let peers = config.peer_listen.map(|listen| PeerConfig { listen, peers, all });
-    let sockets = Rc::new(Sockets::new(config.sockets));
+    let memory = MemoryPlan::new(config.memory, Sockets::client_share(config.sockets));
+    tracing::info!(
+        event = "memory_plan",
+        clients = memory.max_clients,
+        client_buffer_bytes = memory.client_buffer_bytes,
+        server_read_bytes = memory.server_read_bytes,
+        buffered_bytes = memory.buffered_bytes,
+        "memory limit {} MB",
+        config.memory >> 20
+    );
+    let sockets = Rc::new(Sockets::with_max_clients(config.sockets, memory.max_clients));
     let engine = EngineConfig {
         settings: effective.settings,
         names: Arc::new(effective.names),
@@ -108,18 +117,19 @@
         connections,
         reuse: product::configured_reuse(&config.product),
         membership_store: membership_store.map(|settings| (config.name.clone(), settings)),
+        server_read_bytes: memory.server_read_bytes,
         peers,
         fleet: product::fleet_settings(&config.product),
         distribution,
     };
     let engine = Rc::new(Engine::start(engine, sockets).await?);
-    let bytes = ByteBudget::new((config.memory as f64 * BODY_MEMORY_SHARE) as usize);
+    let bytes = ByteBudget::new(memory.buffered_bytes);
     let ids = RequestIdRegistry::new(engine.longest_deadline());
     let ingress = Ingress::new(
         engine.driver.clone(),
         engine.names.borrow().clone(),
         engine.sockets.clone(),
-        bytes,
+        (bytes, memory.client_buffer_bytes),
         ids.clone(),
     );
     let edge = start_edge(&config.product, &engine, &ingress, storage)?;
