Count the time of a long request from when its client may have sent the end

Cause: the time of a streamed body began when this process had read its end. While the server held it back, it read nothing, and the client's last bytes lay in the system's buffers, its time running. Only a server that accepted nothing for 10 s ended that. A limit of a request was measured by our own reads, and its bound was a constant.

A piece of a body waits for its server until that time and the client's stated time are over, unless more of an announced length is missing than the system's buffers can hold: then the client is still sending. The end of a body counts from the same time. Requests that end so are counted (sidecar.uploads.not_taken). The library's host produces its bodies itself; nothing changes there.

A client that writes for longer than it waits for the answer is served as before.

--- a/crates/millethook-engine/src/upload.rs
+++ b/crates/millethook-engine/src/upload.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use tokio::sync::{Notify, mpsc};
+use tokio::time::{timeout, timeout_at};
 
 /// The longest body that is streamed. A client that sends without end would otherwise occupy a connection and a
 /// server forever.
@@ -33,6 +34,14 @@
     answer_timeout: Duration,
 }
 
+/// What is known of a client that sends a body.
+pub trait UploadSource {
+    /// The earliest time at which the client may have sent the last byte. `unread`: how many bytes of the body are
+    /// not read yet, if its length is known. Bytes that are not read wait in the system's buffers, and the client's
+    /// time may run meanwhile.
+    fn earliest_end(&self, unread: Option<u64>) -> Instant;
+}
+
 /// When the client had sent the whole body.
 #[derive(Debug, Default)]
 struct UploadEnd {
@@ -45,6 +54,8 @@
 pub struct UploadSender {
     sender: mpsc::Sender<Piece>,
     end: Arc<UploadEnd>,
+    /// How long the client waits for an answer after it has sent the whole body.
+    answer_timeout: Duration,
 }
 
 /// Why the rest of the body is no longer accepted.
@@ -52,7 +63,7 @@
 pub enum UploadError {
     /// The attempt has ended.
     Closed,
-    /// The server accepted nothing for ten seconds.
+    /// The server did not accept it before the client's time may have been up, or accepted nothing for ten seconds.
     Stalled,
 }
 
@@ -62,7 +73,7 @@
         // One buffered piece keeps the connection busy; further bytes wait in the client's socket.
         let (sender, receiver) = mpsc::channel(1);
         let end = Arc::<UploadEnd>::default();
-        let sender = UploadSender { sender, end: end.clone() };
+        let sender = UploadSender { sender, end: end.clone(), answer_timeout };
         (Upload { receiver: Mutex::new(Some(receiver)), end, answer_timeout }, sender)
     }
 
@@ -96,15 +107,31 @@
 }
 
 impl UploadSender {
-    /// Sends a piece once the server has accepted the previous one.
+    /// Sends a piece once the server has accepted the previous one. `unread`: bytes of the body behind it.
     ///
     /// # Errors
     /// The body is no longer accepted.
-    pub async fn send(&self, piece: Bytes) -> Result<(), UploadError> {
-        match tokio::time::timeout(SERVER_STALL_TIMEOUT, self.sender.send(Piece::Data(piece))).await
-        {
-            Ok(sent) => sent.map_err(|_| UploadError::Closed),
-            Err(_) => Err(UploadError::Stalled),
+    pub async fn send(
+        &self,
+        piece: Bytes,
+        unread: Option<u64>,
+        source: &impl UploadSource,
+    ) -> Result<(), UploadError> {
+        let give_up = Instant::now() + SERVER_STALL_TIMEOUT;
+        let mut due = source.earliest_end(unread) + self.answer_timeout;
+        loop {
+            match timeout_at(due.min(give_up).into(), self.sender.reserve()).await {
+                Ok(Ok(slot)) => {
+                    slot.send(Piece::Data(piece));
+                    return Ok(());
+                }
+                Ok(Err(_)) => return Err(UploadError::Closed),
+                Err(_) => {}
+            }
+            due = source.earliest_end(unread) + self.answer_timeout;
+            if Instant::now() >= due.min(give_up) {
+                return Err(UploadError::Stalled);
+            }
         }
     }
 
@@ -112,11 +139,12 @@
     ///
     /// # Errors
     /// The body is no longer accepted.
-    pub async fn end(self) -> Result<(), UploadError> {
-        // The client's answer timeout starts now, whenever the server accepts the last bytes.
-        let _ = self.end.at.set(Instant::now());
+    pub async fn end(self, source: &impl UploadSource) -> Result<(), UploadError> {
+        // The client's time runs from when it sent the last byte, whenever that byte is read here and the server
+        // accepts it.
+        let _ = self.end.at.set(source.earliest_end(Some(0)));
         self.end.notify.notify_waiters();
-        match tokio::time::timeout(SERVER_STALL_TIMEOUT, self.sender.send(Piece::End)).await {
+        match timeout(SERVER_STALL_TIMEOUT, self.sender.send(Piece::End)).await {
             Ok(sent) => sent.map_err(|_| UploadError::Closed),
             Err(_) => Err(UploadError::Stalled),
         }
--- a/crates/millethook-http/src/body.rs
+++ b/crates/millethook-http/src/body.rs
@@ -12,7 +12,7 @@
 use millethook_connect::request::Framing;
 use millethook_engine::budget::{ByteReservation, MAX_BODY_BYTES};
 use millethook_engine::driver::StreamingReply;
-use millethook_engine::upload::{UploadError, UploadSender};
+use millethook_engine::upload::{UploadError, UploadSender, UploadSource};
 use tokio::sync::mpsc;
 use tokio::time::{timeout, timeout_at};
 
@@ -212,7 +212,7 @@
 }
 
 /// Forwards the part of a body that follows the `buffered` bytes read so far. The complete body may have at
-/// most `max_bytes` bytes.
+/// most `max_bytes` bytes. `source` tells when the client may have sent its end.
 ///
 /// # Errors
 /// Says which side failed or was too slow. The body is then incomplete, and it is not finished towards the
@@ -223,6 +223,7 @@
     max_bytes: u64,
     stall_budget: &mut StallBudget,
     feed: UploadSender,
+    source: &impl UploadSource,
 ) -> Result<(), ForwardError<B::Error>>
 where
     B: Body + Unpin,
@@ -238,10 +239,12 @@
         stall_budget.credit(n);
         room = room.checked_sub(n as u64).ok_or(ForwardError::Read(ReadError::TooLong))?;
         if n > 0 {
-            feed.send(data.copy_to_bytes(n)).await.map_err(ForwardError::NotTaken)?;
+            let unread = body.size_hint().exact();
+            let piece = data.copy_to_bytes(n);
+            feed.send(piece, unread, source).await.map_err(ForwardError::NotTaken)?;
         }
     }
-    feed.end().await.map_err(ForwardError::NotTaken)
+    feed.end(source).await.map_err(ForwardError::NotTaken)
 }
 
 /// Error of a client connection that was closed or can carry no further response.
--- a/crates/millethook-http/src/ingress/client.rs
+++ b/crates/millethook-http/src/ingress/client.rs
@@ -1,9 +1,13 @@
 //! State of one client connection, as the rest of the ingress sees it.
 
 use std::cell::{Cell, RefCell};
+use std::rc::Weak;
 use std::time::{Duration, Instant};
 
 use millethook_engine::stream::Observer;
+use millethook_engine::upload::UploadSource;
+use rustix::io::ioctl_fionread;
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
@@ -25,6 +29,10 @@
 /// Interval between two checks for stalled connections.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Most bytes that wait in a client's send buffer (the kernel's default maximum, `net.ipv4.tcp_wmem`) and in
+/// the buffers of this process.
+const MAX_SEND_BUFFER_BYTES: u64 = 4 << 20;
+
 /// What a client connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Phase {
@@ -64,6 +72,8 @@
     pub phase_since: Cell<Instant>,
     pub last_transfer: Cell<Instant>,
     pub close_request: Notify,
+    /// The socket, as long as it is open.
+    pub socket: RefCell<Weak<TcpStream>>,
     /// Everything that has arrived is read.
     is_drained: Cell<bool>,
     /// The last time at which bytes arrived while nothing was unread. Bytes read later may have been sent by then.
@@ -85,6 +95,7 @@
             phase_since: Cell::new(now),
             last_transfer: Cell::new(now),
             close_request: Notify::new(),
+            socket: RefCell::default(),
             is_drained: Cell::new(true),
             last_arrival: Cell::new(now),
         }
@@ -133,6 +144,18 @@
     }
 }
 
+impl UploadSource for Client {
+    fn earliest_end(&self, unread: Option<u64>) -> Instant {
+        let arrived = self.socket.borrow().upgrade().and_then(|socket| ioctl_fionread(socket).ok());
+        let waiting = arrived.unwrap_or(0).saturating_add(MAX_SEND_BUFFER_BYTES);
+        match unread {
+            // More is missing than the system's buffers can hold: the client is still sending.
+            Some(unread) if unread > waiting => Instant::now(),
+            _ => self.last_arrival.get(),
+        }
+    }
+}
+
 impl Observer for Client {
     fn on_read(&self, bytes: &[u8]) {
         let now = Instant::now();
--- a/crates/millethook-http/src/ingress/mod.rs
+++ b/crates/millethook-http/src/ingress/mod.rs
@@ -238,6 +238,7 @@
     ) {
         let _ = socket.set_nodelay(true);
         let socket = Rc::new(socket);
+        client.socket.replace(Rc::downgrade(&socket));
         self.clients.borrow_mut().insert(number, client.clone());
         let io = TokioIo::new(Stream::new(socket.clone(), client.clone()));
         let service = service_fn(|request| self.clone().serve(client.clone(), request));
--- a/crates/millethook-http/src/ingress/serve.rs
+++ b/crates/millethook-http/src/ingress/serve.rs
@@ -134,7 +134,7 @@
         }
         client.enter_phase(Phase::AwaitingAnswer);
         reservation.commit();
-        let sent_at = client.last_arrival();
+        let (sent_at, stated_time) = (client.last_arrival(), request_head.left);
         self.driver.wait_for_current_list().await;
         let left = request_head.left.saturating_sub(sent_at.elapsed());
         let request_head = RequestHead { left, ..request_head };
@@ -197,7 +197,7 @@
             BufferedBody::Partial(pieces) => pieces,
         };
         let length: u64 = pieces.iter().map(|piece| piece.len() as u64).sum();
-        let (upload, rest) = Upload::new(request_head.left);
+        let (upload, rest) = Upload::new(stated_time);
         let upload = Some((upload, framing(&body, length)));
         let mut attempt_request =
             answer::attempt_request(head, &request_head, pieces, account, upload);
@@ -205,8 +205,14 @@
         let mut ticket = self.driver.request(request_head, attempt_request);
         drop(names);
         let forwarded = {
-            let forwarding =
-                pin!(forward_rest(&mut body, length, MAX_UPLOAD_BYTES, &mut stall_budget, rest));
+            let forwarding = pin!(forward_rest(
+                &mut body,
+                length,
+                MAX_UPLOAD_BYTES,
+                &mut stall_budget,
+                rest,
+                client
+            ));
             tokio::select! {
                 biased;
                 // The request was refused, or a server answered without reading the rest.
@@ -217,6 +223,7 @@
         match forwarded {
             Err(ForwardError::Read(e)) => read_error_status(e).map(Err),
             Err(ForwardError::NotTaken(UploadError::Stalled)) => {
+                self.driver.figures().count(Counter::UploadsNotTaken);
                 Ok(Ok(Answered::Reply(Reply::Failed)))
             }
             // The reply tells why the server no longer takes the body.
--- a/crates/millethook/src/fleet.rs
+++ b/crates/millethook/src/fleet.rs
@@ -10,7 +10,7 @@
 
 use http::{Request, Response};
 use millethook_engine::driver::Reply;
-use millethook_engine::upload::{MAX_UPLOAD_BYTES, Upload, UploadError};
+use millethook_engine::upload::{MAX_UPLOAD_BYTES, Upload, UploadError, UploadSource};
 use millethook_http::answer;
 use millethook_http::body::{
     BodyLimits, BufferedBody, ForwardError, ReadError, StallBudget, buffer_body, forward_rest,
@@ -54,6 +54,15 @@
 /// Limits on the bodies of calls. All of their bytes are charged.
 const BODY_LIMITS: BodyLimits = BodyLimits { max_bytes: MAX_UPLOAD_BYTES, uncharged_bytes: 0 };
 
+/// A body that the host produces. It is read as soon as there is room, and the host's time counts from there.
+struct HostBody;
+
+impl UploadSource for HostBody {
+    fn earliest_end(&self, _unread: Option<u64>) -> Instant {
+        Instant::now()
+    }
+}
+
 impl Fleet {
     /// Opens a fleet: the engine that is open in this process under the configuration's name, or a new
     /// one. Blocks while a thread starts and, if a fleet of this name is just ending, until that has
@@ -141,8 +150,14 @@
         sent.map_err(|_| Error::Closed)?;
         let (mut until, mut early) = (until, None);
         if let Some(rest) = rest {
-            let forwarding =
-                pin!(forward_rest(&mut body, length, MAX_UPLOAD_BYTES, &mut stalls, rest));
+            let forwarding = pin!(forward_rest(
+                &mut body,
+                length,
+                MAX_UPLOAD_BYTES,
+                &mut stalls,
+                rest,
+                &HostBody
+            ));
             tokio::select! {
                 biased;
                 // The request was refused, or a server answered without reading the rest.
--- a/crates/plankvale/tests/sidecar/slow_servers.rs
+++ b/crates/plankvale/tests/sidecar/slow_servers.rs
@@ -14,16 +14,21 @@
 /// Sound servers pause for this long within an answer.
 const PAUSE: Duration = Duration::from_millis(160);
 
-fn request(class: &str, body: &[u8]) -> Vec<u8> {
+fn request_head(class: &str, framing: &str) -> String {
     let key = if class == "keep" { "Idempotency-Key: 5c0f\r\n" } else { "" };
-    let mut request = format!(
-        "POST /{class} HTTP/1.1\r\nHost: app.svc\r\n{}{key}Content-Length: {}\r\n\r\n",
-        common_headers(),
-        body.len()
-    )
-    .into_bytes();
-    request.extend_from_slice(body);
-    request
+    let headers = common_headers();
+    format!("POST /{class} HTTP/1.1\r\nHost: app.svc\r\n{headers}{key}{framing}\r\n\r\n")
+}
+
+fn request(class: &str, body: &[u8]) -> Vec<u8> {
+    let head = request_head(class, &format!("Content-Length: {}", body.len()));
+    [head.as_bytes(), body].concat()
+}
+
+fn chunked_request(class: &str, body: &[u8]) -> Vec<u8> {
+    let head = request_head(class, "Transfer-Encoding: chunked");
+    let size = format!("{:x}\r\n", body.len());
+    [head.as_bytes(), size.as_bytes(), body, b"\r\n0\r\n\r\n"].concat()
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -112,10 +117,9 @@
 
 /// Sends a long request as fast as the sidecar takes it, and returns the time from when the whole of it is in the
 /// system's buffers until the answer, with its status.
-fn answer_time(sidecar: &Sidecar, class: &str, length: usize) -> (Duration, u16) {
+fn answer_time(sidecar: &Sidecar, request: Vec<u8>) -> (Duration, u16) {
     let mut client = sidecar.client();
     let mut socket = client.socket.try_clone().unwrap();
-    let request = request(class, &vec![b'x'; length]);
     thread::scope(|scope| {
         let sent = scope.spawn(move || {
             use std::io::Write;
@@ -141,13 +145,17 @@
         thread::scope(|scope| {
             for class in ["order", "keep"] {
                 for length in [250_000, 3_000_000, 6_000_000] {
-                    let sidecar = &sidecar;
-                    scope.spawn(move || {
-                        let (time, status) = answer_time(sidecar, class, length);
-                        let what = format!("{class} {length} {per_round}: {status} after {time:?}");
-                        assert!(time < TIME_LEFT + LATE_ANSWER, "{what}");
-                        assert!([502, 503].contains(&status), "{what}");
-                    });
+                    let body = vec![b'x'; length];
+                    for request in [request(class, &body), chunked_request(class, &body)] {
+                        let sidecar = &sidecar;
+                        scope.spawn(move || {
+                            let (time, status) = answer_time(sidecar, request);
+                            let what =
+                                format!("{class} {length} {per_round}: {status} after {time:?}");
+                            assert!(time < TIME_LEFT + LATE_ANSWER, "{what}");
+                            assert!([502, 503].contains(&status), "{what}");
+                        });
+                    }
                 }
             }
         });
