--- a/crates/plankvale/tests/sidecar/main.rs
+++ b/crates/plankvale/tests/sidecar/main.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod clients;
+mod departures;
 mod early;
 mod edge;
 mod edge_death;
