Begin no attempt for a client whose close may be hidden behind what it sent

What callers saw: a client closed with some 0.5 MB of requests unread, and the request in progress was sent to a second server 0.30 s later; 0.1 s is allowed.

Cause: the end of a connection is reported once everything in front of it has arrived. What does not fit into the receive buffer waits at the client, and its close behind that, so the client counted as present for as long as its request lasted.

Change: an attempt's gate asks its caller, too. A client counts as present for 0.1 s after the last arrival, and after that as long as its connection has not failed and fewer than 4 KiB are unread: then the close would have been seen. Clients that send one request at a time leave nothing unread. A further request of a connection is not begun if the system has an error for it.

--- a/crates/millethook-engine/src/driver/attempts.rs
+++ b/crates/millethook-engine/src/driver/attempts.rs
@@ -30,7 +30,7 @@
         (attempt_timeout, commit_within): (Micros, Micros),
     ) {
         let (cancel, cancelled) = oneshot::channel();
-        let (attempt_index, class, destination) = {
+        let (attempt_index, class, caller, destination) = {
             let mut state = self.state.borrow_mut();
             let server_entry = state.servers.get(&server).cloned();
             let Some(request) = state.requests.get_mut(&id) else {
@@ -42,7 +42,8 @@
                 .attempt_request
                 .clone()
                 .filter(|_| !request.is_closed() && request.streaming.is_none());
-            (request.attempts.len() - 1, request.class, attempt_request.zip(server_entry))
+            let caller = request.caller.clone();
+            (request.attempts.len() - 1, request.class, caller, attempt_request.zip(server_entry))
         };
         let Some((attempt_request, server_entry)) = destination else {
             return self.report_never_sent(id, attempt_index, server);
@@ -53,7 +54,8 @@
             Some(_) => None,
             None => Some(now + Duration::from_micros(commit_within)),
         };
-        let gate = Gate { admission: server_entry.admission, commit_by, attempt: attempt_index };
+        let gate =
+            Gate { admission: server_entry.admission, commit_by, attempt: attempt_index, caller };
         // Counted from the decision: the time until the attempt's task runs also counts against the client, and
         // otherwise the server would be told a longer remaining time than is left.
         let deadline = now + Duration::from_micros(attempt_timeout);
--- a/crates/millethook-engine/src/driver/mod.rs
+++ b/crates/millethook-engine/src/driver/mod.rs
@@ -31,7 +31,7 @@
 use crate::list_clock::ListClock;
 use crate::names::Names;
 use crate::sinks::PeerSender;
-use crate::upstream::{Admission, AttemptRequest, SystemCalls, Upstream};
+use crate::upstream::{Admission, AttemptRequest, Caller, SystemCalls, Upstream};
 
 use pauses::Pauses;
 use reachability::Reachability;
@@ -211,11 +211,21 @@
         }
     }
 
-    /// Takes a request.
+    /// Takes a request whose ticket is dropped as its caller leaves.
     pub fn request(
         self: &Rc<Driver>,
         head: RequestHead,
         attempt_request: AttemptRequest,
+    ) -> Ticket {
+        self.request_of(None, head, attempt_request)
+    }
+
+    /// Takes a request. No attempt begins once `caller` is not known to be present.
+    pub fn request_of(
+        self: &Rc<Driver>,
+        caller: Option<Rc<dyn Caller>>,
+        head: RequestHead,
+        attempt_request: AttemptRequest,
     ) -> Ticket {
         let (sender, receiver) = oneshot::channel();
         let id = {
@@ -224,6 +234,7 @@
             let id = RequestId(state.next_id);
             let pending = PendingRequest {
                 class: head.class,
+                caller,
                 reply: Some(sender),
                 attempt_request: Some(Rc::new(attempt_request)),
                 attempts: Vec::new(),
--- a/crates/millethook-engine/src/driver/request.rs
+++ b/crates/millethook-engine/src/driver/request.rs
@@ -8,7 +8,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::Driver;
-use crate::upstream::{AnswerHead, AttemptRequest};
+use crate::upstream::{AnswerHead, AttemptRequest, Caller};
 
 /// Properties of a client's request.
 pub struct RequestHead {
@@ -85,6 +85,8 @@
 pub(super) struct PendingRequest {
     /// The index of its class in the settings.
     pub class: usize,
+    /// Who has to be there still as an attempt begins.
+    pub caller: Option<Rc<dyn Caller>>,
     /// Sends the final answer; `None` once it has been used or the client is gone.
     pub reply: Option<oneshot::Sender<Reply>>,
     /// `None` once no further attempt can need it.
--- a/crates/millethook-engine/src/upstream/mod.rs
+++ b/crates/millethook-engine/src/upstream/mod.rs
@@ -33,7 +33,7 @@
 pub use attempt::{AnswerHead, AttemptOutcome, AttemptRequest};
 pub use connection::SystemCalls;
 use connection::{Connection, ConnectionGuard, SharedIo};
-pub use gate::{Admission, Gate};
+pub use gate::{Admission, Caller, Gate};
 pub use probe::TrialPage;
 pub use streaming::StreamingResponse;
 
--- a/crates/millethook-engine/src/upstream/probe.rs
+++ b/crates/millethook-engine/src/upstream/probe.rs
@@ -11,7 +11,7 @@
 use tokio::time::timeout;
 
 use super::attempt::{AttemptOutcome, AttemptRequest};
-use super::{Admission, Gate, Upstream};
+use super::{Gate, Upstream};
 
 /// How a server of an old list proves its identity.
 #[derive(Clone, Debug)]
@@ -34,7 +34,7 @@
         let connect_timeout = self.config.connect_timeout;
         let request = Rc::new(AttemptRequest::internal_get(&path, connect_timeout));
         let deadline = Instant::now() + connect_timeout;
-        let gate = Gate { admission: Admission::new(), commit_by: Some(deadline), attempt: 0 };
+        let gate = Gate::internal(deadline);
         let attempt = self.attempt((server, dial), None, &request, gate, deadline);
         let attempt = timeout(connect_timeout + Duration::from_secs(1), attempt).await;
         let Ok(AttemptOutcome::End { outcome, answer, .. }) = attempt else {
@@ -57,7 +57,7 @@
         let (connect_timeout, started) = (self.config.connect_timeout, Instant::now());
         let request = Rc::new(AttemptRequest::internal_get(&trial.path, connect_timeout));
         let deadline = started + 2 * connect_timeout;
-        let gate = Gate { admission: Admission::new(), commit_by: Some(deadline), attempt: 0 };
+        let gate = Gate::internal(deadline);
         let attempt = self.attempt((host.id(), dial), None, &request, gate, deadline);
         let Ok(AttemptOutcome::End { outcome, answer, .. }) =
             timeout(2 * connect_timeout, attempt).await
--- a/crates/millethook-http/src/ingress/client.rs
+++ b/crates/millethook-http/src/ingress/client.rs
@@ -1,12 +1,15 @@
 //! State of one client connection, as the rest of the ingress sees it.
 
 use std::cell::{Cell, RefCell};
+use std::mem::MaybeUninit;
 use std::rc::Weak;
 use std::time::{Duration, Instant};
 
 use millethook_engine::stream::Observer;
 use millethook_engine::upload::UploadSource;
+use millethook_engine::upstream::Caller;
 use rustix::io::ioctl_fionread;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::sleep;
@@ -33,6 +36,12 @@
 /// the buffers of this process.
 const MAX_SEND_BUFFER_BYTES: u64 = 4 << 20;
 
+/// A client's close is not hidden behind fewer unread bytes than this. Clients that send one request at a time leave none
+/// unread while they wait.
+const HIDDEN_CLOSE_BYTES: usize = 4 << 10;
+/// How long after a client's last sign of life an attempt may begin while its close may be hidden.
+const DEPARTURE_GRACE: Duration = Duration::from_millis(100);
+
 /// What a client connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Phase {
@@ -74,6 +83,8 @@
     pub close_request: Notify,
     /// The socket, as long as it is open.
     pub socket: RefCell<Weak<TcpStream>>,
+    /// The system has reported that the connection failed.
+    failed: Cell<bool>,
     /// Everything that has arrived is read.
     is_drained: Cell<bool>,
     /// The last time at which bytes arrived while nothing was unread. Bytes read later may have been sent by then.
@@ -96,6 +107,7 @@
             last_transfer: Cell::new(now),
             close_request: Notify::new(),
             socket: RefCell::default(),
+            failed: Cell::new(false),
             is_drained: Cell::new(true),
             last_arrival: Cell::new(now),
         }
@@ -144,6 +156,34 @@
     }
 }
 
+impl Client {
+    /// Whether the connection has failed, as after a reset. Asks the system, because the event loop may not have
+    /// reported it yet.
+    pub fn has_failed(&self) -> bool {
+        let Some(socket) = self.socket.borrow().upgrade() else { return true };
+        // The system reports an error only once.
+        let failed =
+            self.failed.get() || matches!(SockRef::from(&*socket).take_error(), Ok(Some(_)));
+        self.failed.set(failed);
+        failed
+    }
+
+    /// Whether the client may have closed the connection without the system knowing: the close follows all bytes
+    /// that were sent before it, and what does not fit into the receive buffer waits at the client.
+    fn may_hide_close(&self) -> bool {
+        let Some(socket) = self.socket.borrow().upgrade() else { return true };
+        let mut unread = [MaybeUninit::uninit(); HIDDEN_CLOSE_BYTES];
+        SockRef::from(&*socket).peek(&mut unread).is_ok_and(|n| n == HIDDEN_CLOSE_BYTES)
+    }
+}
+
+impl Caller for Client {
+    fn is_present(&self) -> bool {
+        self.last_arrival.get().elapsed() <= DEPARTURE_GRACE
+            || (!self.has_failed() && !self.may_hide_close())
+    }
+}
+
 impl UploadSource for Client {
     fn earliest_end(&self, unread: Option<u64>) -> Instant {
         let arrived = self.socket.borrow().upgrade().and_then(|socket| ioctl_fionread(socket).ok());
--- a/crates/millethook-http/src/ingress/serve.rs
+++ b/crates/millethook-http/src/ingress/serve.rs
@@ -14,6 +14,7 @@
 use millethook_engine::figures::Counter;
 use millethook_engine::memory::CLIENT_BODY_BYTES;
 use millethook_engine::upload::{MAX_UPLOAD_BYTES, Upload, UploadError};
+use millethook_engine::upstream::Caller;
 
 use super::Ingress;
 use super::client::{Client, Phase};
@@ -42,6 +43,9 @@
         // With pipelining, the next request is read before the last answer has been written.
         client.answer_complete.set(false);
         if client.phase.get() != Phase::ReadingHead {
+            if client.has_failed() {
+                return Err(ClientGone);
+            }
             // Bytes that arrived together with the previous request were not scanned.
             client.enter_phase(Phase::ReadingHead);
             client.head_scan.replace(HeadScan::default());
@@ -75,7 +79,7 @@
     /// Answers one request, or returns the status that describes what is wrong with it.
     async fn answer_request(
         &self,
-        client: &Client,
+        client: &Rc<Client>,
         request: Request<Incoming>,
     ) -> Result<Result<Answered, StatusCode>, ClientGone> {
         let (head, body) = request.into_parts();
@@ -170,7 +174,9 @@
                         let mut attempt_request =
                             answer::attempt_request(head, &request_head, pieces, account, None);
                         attempt_request.answer_budget = Some(self.bytes.clone());
-                        let mut ticket = self.driver.request(request_head, attempt_request);
+                        let caller = Some(client.clone() as Rc<dyn Caller>);
+                        let mut ticket =
+                            self.driver.request_of(caller, request_head, attempt_request);
                         drop(names);
                         let reply = ticket.reply().await;
                         let never_ran = matches!(reply, Reply::Refused { may_have_run: false, .. });
@@ -211,7 +217,7 @@
                 MAX_UPLOAD_BYTES,
                 &mut stall_budget,
                 rest,
-                client
+                &**client
             ));
             tokio::select! {
                 biased;
