Test: an id stays in use for as long as its answer takes, listed as red

Ids are remembered by the clock, from when their request was taken: an unsafe request whose answer took 7 s ran again as its id came a second time after 6 s (200, 409 expected; one run of one).

--- a/crates/plankvale/tests/sidecar/departures.rs
+++ b/crates/plankvale/tests/sidecar/departures.rs
@@ -123,3 +123,41 @@
         assert!(sidecar.memory_mb() < 32, "{:?}: {} MB", flood(7), sidecar.memory_mb());
     }
 }
+
+/// An unsafe request with this id.
+fn unsafe_with_id(id: &str) -> String {
+    let headers = "X-Account: acme\r\nX-Time-Left-Ms: 900\r\nContent-Length: 1\r\n";
+    format!("POST /order HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: {id}\r\n{headers}\r\nx")
+}
+
+/// Guards against ids that are forgotten by the clock while their requests are still being answered.
+#[test]
+fn an_id_stays_in_use_for_as_long_as_its_answer_takes() {
+    const ANSWER_TIME: Duration = Duration::from_secs(7);
+    let (list, _, seen) = servers(2, |mut conn, seen| {
+        let is_long = seen.message.header("x-correlation-id") == Some("long");
+        if !is_long {
+            conn.send(ok("fine"));
+            return Some(conn);
+        }
+        conn.send("HTTP/1.1 200 OK\r\nContent-Length: 280000\r\n\r\n");
+        for _ in 0..28 {
+            conn.send("y".repeat(10_000));
+            thread::sleep(ANSWER_TIME / 28);
+        }
+        Some(conn)
+    });
+    let (sidecar, _agent) = Sidecar::with_servers(&list);
+    let mut client = sidecar.client();
+    client.send(unsafe_with_id("long"));
+    let head = client.head().expect("an answer");
+    let begun = Instant::now();
+    while begun.elapsed() < ANSWER_TIME * 6 / 7 {
+        assert_eq!(sidecar.request(safe()).status(), 200);
+        thread::sleep(Duration::from_millis(200));
+    }
+    assert_eq!(sidecar.request(unsafe_with_id("long")).status(), 409);
+    assert!(client.rest_of(head).complete);
+    let runs = seen.try_iter().filter(|r| r.message.header("x-correlation-id") == Some("long"));
+    assert_eq!(runs.count(), 1);
+}
