Keep a request id in use until its answer ends, and free ids that never ran

What callers saw: an unsafe request whose answer took 7 s ran a second time as its id came again after 6 s: 200, 409 expected.

Cause: ids were kept by the clock from when their request was taken, in two generations that also turned with every 16,384 ids. Answers and bodies that take longer, and a client that sends ever new ids at full speed, pushed out ids of requests that were open. The bound was a constant where the request says how long it is open.

Change: an id is reserved for as long as its request is read and answered, outside any generation. The registry has a module of its own.

--- a/crates/millethook-http/src/ingress/client.rs
+++ b/crates/millethook-http/src/ingress/client.rs
@@ -15,6 +15,7 @@
 use tokio::time::sleep;
 
 use crate::guard::HeadScan;
+use crate::request_ids::IdReservation;
 
 /// Longest time from the first to the last byte of a request head; bodies have a
 /// [`StallBudget`](crate::body::StallBudget) instead. Guards against heads that never end and clients that
@@ -81,6 +82,8 @@
     pub phase_since: Cell<Instant>,
     pub last_transfer: Cell<Instant>,
     pub close_request: Notify,
+    /// The id of the request that is being read or answered.
+    pub request_id: RefCell<Option<IdReservation>>,
     /// The socket, as long as it is open.
     pub socket: RefCell<Weak<TcpStream>>,
     /// The system has reported that the connection failed.
@@ -106,6 +109,7 @@
             phase_since: Cell::new(now),
             last_transfer: Cell::new(now),
             close_request: Notify::new(),
+            request_id: RefCell::default(),
             socket: RefCell::default(),
             failed: Cell::new(false),
             is_drained: Cell::new(true),
@@ -157,6 +161,13 @@
 }
 
 impl Client {
+    /// Says whether the request in progress may have run, or may yet.
+    pub fn set_may_have_run(&self, may_have_run: bool) {
+        if let Some(reservation) = self.request_id.borrow_mut().as_mut() {
+            reservation.set_may_have_run(may_have_run);
+        }
+    }
+
     /// Whether the connection has failed, as after a reset. Asks the system, because the event loop may not have
     /// reported it yet.
     pub fn has_failed(&self) -> bool {
--- a/crates/millethook-http/src/ingress/mod.rs
+++ b/crates/millethook-http/src/ingress/mod.rs
@@ -28,7 +28,7 @@
 use tokio::time::sleep;
 
 use crate::edge::Edge;
-use crate::guard::RequestIdRegistry;
+use crate::request_ids::RequestIdRegistry;
 
 use client::{Client, Phase, wait_for_close_request, wait_until_stalled};
 use eviction::Admission;
--- a/crates/millethook-http/src/ingress/serve.rs
+++ b/crates/millethook-http/src/ingress/serve.rs
@@ -26,6 +26,7 @@
 use crate::edge::{CONTEXT, Receipt, StoreOutcome};
 use crate::guard::HeadScan;
 use crate::head::{HeadOverrides, parse_head};
+use crate::request_ids::IdReservation;
 
 /// `Retry-After` for a request that had to wait for a stored write that it comes after, in vain.
 const PREDECESSOR_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -55,6 +56,9 @@
             true => Ok(Answered::Reply(refused_reply(None))),
             false => self.answer_request(&client, request).await?,
         };
+        if let Ok(Answered::Reply(Reply::Refused { may_have_run: false, .. })) = &answered {
+            client.set_may_have_run(false);
+        }
         let (mut response, close_after) = match answered {
             Ok(Answered::Reply(reply)) => (reply_response(reply), false),
             Ok(Answered::Stored(receipt)) => (receipt_response(receipt), false),
@@ -73,7 +77,8 @@
         client.close_delimited.set(is_http_10 && response.body().size_hint().exact().is_none());
         client.enter_phase(Phase::WritingAnswer);
         let (head, body) = response.into_parts();
-        Ok(Response::from_parts(head, TrackedBody { body, client }))
+        let request_id = client.request_id.take();
+        Ok(Response::from_parts(head, TrackedBody { body, client, _request_id: request_id }))
     }
 
     /// Answers one request, or returns the status that describes what is wrong with it.
@@ -109,11 +114,13 @@
         let Some(reservation) = self.ids.reserve(id.as_bytes()) else {
             return Ok(Err(StatusCode::CONFLICT));
         };
+        let id = reservation.id();
+        client.request_id.replace(Some(reservation));
         // Without this, the process that takes over could accept a request with the same id on one of its
         // own connections.
         let successor = self.successor.borrow().clone();
         if let Some(successor) = successor {
-            match successor.reserve_id(reservation.id()).await {
+            match successor.reserve_id(id).await {
                 Some(true) => {}
                 Some(false) => return Ok(Err(StatusCode::CONFLICT)),
                 None => return Ok(Ok(Answered::Reply(refused_reply(None)))),
@@ -132,12 +139,12 @@
                 }
                 Err(e) => return read_error_status(e).map(Err),
             };
-        // The request was not sent to any server, and dropping the reservation frees its id.
+        // The request was not sent to any server, and the end of its answer frees its id.
         if self.request_cutoff.get().is_some_and(|cutoff| Instant::now() >= cutoff) {
             return Ok(Ok(Answered::Reply(refused_reply(None))));
         }
         client.enter_phase(Phase::AwaitingAnswer);
-        reservation.commit();
+        client.set_may_have_run(true);
         let (sent_at, stated_time) = (client.last_arrival(), request_head.left);
         self.driver.wait_for_current_list().await;
         let left = request_head.left.saturating_sub(sent_at.elapsed());
@@ -300,6 +307,8 @@
 pub(super) struct TrackedBody {
     body: AnswerBody,
     client: Rc<Client>,
+    /// The id stays in use until the end of the answer.
+    _request_id: Option<IdReservation>,
 }
 
 impl Drop for TrackedBody {
--- a/crates/millethook-http/src/lib.rs
+++ b/crates/millethook-http/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod guard;
 pub mod head;
 pub mod ingress;
+pub mod request_ids;
--- a/crates/millethook/src/thread.rs
+++ b/crates/millethook/src/thread.rs
@@ -12,8 +12,8 @@
 use millethook_engine::memory::MAX_SERVER_READ_BYTES;
 use millethook_engine::upstream::AttemptRequest;
 use millethook_engine::{Engine, EngineConfig, PeerConfig};
-use millethook_http::guard::RequestIdRegistry;
 use millethook_http::head::Invalid;
+use millethook_http::request_ids::RequestIdRegistry;
 use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot, watch};
 use tokio::task::{LocalSet, spawn_local};
 
@@ -163,17 +163,23 @@
     if reply.is_closed() {
         return;
     }
-    let Some(reservation) = ids.reserve(id.as_bytes()) else {
+    let Some(mut reservation) = ids.reserve(id.as_bytes()) else {
         let _ = reply.send(Err(Invalid::IdInUse));
         return;
     };
-    reservation.commit();
+    reservation.set_may_have_run(true);
     driver.wait_for_current_list().await;
     request_head.left = until.saturating_duration_since(Instant::now());
     let mut ticket = driver.request(request_head, attempt_request);
     tokio::select! {
         biased;
-        answer = ticket.reply() => drop(reply.send(Ok(answer))),
+        answer = ticket.reply() => {
+            reservation.set_may_have_run(!matches!(
+                answer,
+                Reply::Refused { may_have_run: false, .. }
+            ));
+            let _ = reply.send(Ok(answer));
+        }
         // The caller has dropped its future: dropping the ticket cancels the attempts.
         () = reply.closed() => {}
     }
