--- a/crates/plankvale/tests/sidecar/main.rs
+++ b/crates/plankvale/tests/sidecar/main.rs
@@ -17,6 +17,7 @@
 mod pauses;
 mod races;
 mod reload;
+mod restarted_servers;
 mod service;
 mod slow_servers;
 mod upgrade;
