Tell a process of a server from the one before it at the same address

What callers saw: after the list told that a server had started anew under its name and address, requests went to its old process, on connections at rest, for as long as that lived.

Cause: a connection was known by its server's name and address alone. Attempts that waited were revoked at a restart, but connections at rest, and those in use that came back later, stayed usable.

Change: a connection belongs to an endpoint, the address with the start time that the list gives. One of another endpoint is closed as the list changes, or as it is taken out for use.

Read, and not known by an address alone: the hand-over (an open socket), the view (incarnations), leases (tokens), kept writes (EdgeId).

--- a/crates/millethook-connect/src/pool.rs
+++ b/crates/millethook-connect/src/pool.rs
@@ -103,7 +103,7 @@
                     return Checkout::Reuse(found.connection, idle_time);
                 }
                 SocketState::Quiet => self.ended.retired += 1,
-                SocketState::AddressChanged => self.ended.given_up += 1,
+                SocketState::EndpointChanged => self.ended.given_up += 1,
                 SocketState::Closed => {
                     server.observations.record_idle_close(idle_time, now);
                     self.ended.closed += 1;
@@ -321,7 +321,7 @@
                         return true;
                     }
                     SocketState::Quiet => ended.retired += 1,
-                    SocketState::AddressChanged => ended.given_up += 1,
+                    SocketState::EndpointChanged => ended.given_up += 1,
                     SocketState::Closed => {
                         observations.record_idle_close(idle_time, now);
                         ended.closed += 1;
--- a/crates/millethook-connect/src/pool/checkout.rs
+++ b/crates/millethook-connect/src/pool/checkout.rs
@@ -11,8 +11,8 @@
     Closed,
     /// Bytes have come that belong to no request.
     StrayBytes,
-    /// Its server now has another address.
-    AddressChanged,
+    /// Its server now has another address, or is another process.
+    EndpointChanged,
 }
 
 /// The result of asking the pool for a connection.
--- a/crates/millethook-engine/src/driver/attempts.rs
+++ b/crates/millethook-engine/src/driver/attempts.rs
@@ -1,7 +1,6 @@
 //! Attempts, from the decision to send one to its outcome.
 
 use std::future::{Future, poll_fn};
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -16,7 +15,9 @@
 use super::request::{Reply, StreamingReply};
 use crate::figures::Disposition;
 use crate::upload::Upload;
-use crate::upstream::{AnswerHead, AttemptOutcome, AttemptRequest, Gate, StreamingResponse};
+use crate::upstream::{
+    AnswerHead, AttemptOutcome, AttemptRequest, Endpoint, Gate, StreamingResponse,
+};
 
 /// A server that pauses this long within an answer will not continue it.
 const SERVER_STALL_TIMEOUT: Duration = Duration::from_secs(10);
@@ -66,7 +67,7 @@
         spawn_local(self.clone().attempt(
             id,
             attempt_index,
-            (server, server_entry.dial),
+            (server, server_entry.endpoint),
             (class, attempt_request),
             (gate, deadline),
             cancelled,
@@ -93,7 +94,7 @@
         self: Rc<Driver>,
         id: RequestId,
         attempt_index: usize,
-        (server, dial): (ServerId, SocketAddr),
+        (server, endpoint): (ServerId, Endpoint),
         (class, attempt_request): (usize, Rc<AttemptRequest>),
         (gate, deadline): (Gate, Instant),
         cancelled: oneshot::Receiver<()>,
@@ -112,7 +113,7 @@
         let result = {
             let upload = attempt_request.upload.as_ref();
             let mut attempt = pin!(self.upstream.attempt(
-                (server, dial),
+                (server, endpoint),
                 Some(class),
                 &attempt_request,
                 gate,
--- a/crates/millethook-engine/src/driver/membership.rs
+++ b/crates/millethook-engine/src/driver/membership.rs
@@ -1,7 +1,6 @@
 //! Applies server lists, and keeps the address and admission of each server.
 
 use std::collections::HashSet;
-use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 
 use coppercart::api::{Event, Health, ListKind, ServerId, ServerVerdict};
@@ -11,7 +10,7 @@
 use crate::list::{Host, List};
 use crate::list_clock::ListClock;
 use crate::sinks::{MembershipSink, VerdictSink};
-use crate::upstream::Admission;
+use crate::upstream::{Admission, Endpoint};
 
 impl MembershipSink for Rc<Driver> {
     fn update_servers(&self, kind: ListKind, list: &List) {
@@ -40,11 +39,10 @@
 
 /// Returns the admission for new attempts at a server. If the server may get nothing new, or has moved or restarted,
 /// the previous admission is revoked.
-fn admission_for(before: Option<&ListedServer>, host: &Host, dial: SocketAddr) -> Admission {
+fn admission_for(before: Option<&ListedServer>, host: &Host, endpoint: Endpoint) -> Admission {
     let admission = match before {
         Some(before) => {
-            let same = before.dial == dial && before.born_ms == host.born_ms;
-            if same && before.admission.holds() {
+            if before.endpoint == endpoint && before.admission.holds() {
                 before.admission.clone()
             } else {
                 before.admission.revoke();
@@ -99,13 +97,14 @@
                     self.upstream.close_idle(id, true);
                     continue;
                 }
-                let Some(dial) = host.dial else { continue };
+                let Some(address) = host.dial else { continue };
+                let endpoint = Endpoint { address, born_ms: host.born_ms };
                 let before = state.servers.get(&id);
-                if before.is_some_and(|before| before.dial != dial) {
+                if before.is_some_and(|before| before.endpoint != endpoint) {
                     self.upstream.close_idle(id, false);
                 }
-                let admission = admission_for(before, host, dial);
-                state.servers.insert(id, ListedServer { dial, born_ms: host.born_ms, admission });
+                let admission = admission_for(before, host, endpoint);
+                state.servers.insert(id, ListedServer { endpoint, admission });
             }
             state.listed |= !list.hosts.is_empty();
             if state.listed {
--- a/crates/millethook-engine/src/driver/mod.rs
+++ b/crates/millethook-engine/src/driver/mod.rs
@@ -31,7 +31,7 @@
 use crate::list_clock::ListClock;
 use crate::names::Names;
 use crate::sinks::PeerSender;
-use crate::upstream::{Admission, AttemptRequest, Caller, SystemCalls, Upstream};
+use crate::upstream::{Admission, AttemptRequest, Caller, Endpoint, SystemCalls, Upstream};
 
 use pauses::Pauses;
 use reachability::Reachability;
@@ -50,8 +50,7 @@
 /// A server of the list.
 #[derive(Clone)]
 struct ListedServer {
-    dial: SocketAddr,
-    born_ms: u64,
+    endpoint: Endpoint,
     /// The admission of attempts that are decided from now on.
     admission: Admission,
 }
@@ -184,13 +183,13 @@
             Action::Fail { id } => self.finish_request(id, Reply::Failed),
             Action::Timer { delay, token } => self.timers.set(delay, token),
             Action::Probe { server } => {
-                let dial = self.state.borrow().servers.get(&server).map(|s| s.dial);
+                let endpoint = self.state.borrow().servers.get(&server).map(|s| s.endpoint);
                 let driver = self.clone();
                 spawn_local(async move {
                     let sent = Instant::now();
-                    let (outcome, report) = match dial {
-                        Some(dial) => {
-                            driver.upstream.probe(server, dial, driver.probe_reports).await
+                    let (outcome, report) = match endpoint {
+                        Some(endpoint) => {
+                            driver.upstream.probe(server, endpoint, driver.probe_reports).await
                         }
                         None => (Outcome::ConnectFailed, LoadReport::default()),
                     };
@@ -350,7 +349,8 @@
     pub async fn try_connect(&self, nth: usize) -> bool {
         let dial = {
             let state = self.state.borrow();
-            let mut dials: Vec<SocketAddr> = state.servers.values().map(|s| s.dial).collect();
+            let mut dials: Vec<SocketAddr> =
+                state.servers.values().map(|s| s.endpoint.address).collect();
             dials.sort_unstable();
             (!dials.is_empty()).then(|| dials[nth % dials.len()])
         };
--- a/crates/millethook-engine/src/upstream/attempt/mod.rs
+++ b/crates/millethook-engine/src/upstream/attempt/mod.rs
@@ -6,7 +6,6 @@
 mod matching;
 mod request;
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -22,7 +21,7 @@
 use tokio::time::timeout;
 
 use super::connection::ConnectionGuard;
-use super::{Gate, StreamingResponse, Upstream};
+use super::{Endpoint, Gate, StreamingResponse, Upstream};
 use crate::figures::Counter;
 use crate::upload::MAX_UPLOAD_BYTES;
 
@@ -131,7 +130,7 @@
     /// of the request's class in the settings; `None` for internal requests.
     pub async fn attempt(
         self: &Rc<Upstream>,
-        target: (ServerId, SocketAddr),
+        target: (ServerId, Endpoint),
         class: Option<usize>,
         request: &Rc<AttemptRequest>,
         gate: Gate,
@@ -177,7 +176,7 @@
     /// repeated.
     async fn try_once(
         self: &Rc<Upstream>,
-        (server, dial): (ServerId, SocketAddr),
+        (server, endpoint): (ServerId, Endpoint),
         class: Option<usize>,
         request: &Rc<AttemptRequest>,
         gate: &Gate,
@@ -189,7 +188,7 @@
         loop {
             let matching = matching();
             let (guard, idle_time) =
-                match self.connection(server, dial, matching, connect_timeout).await {
+                match self.connection(server, endpoint, matching, connect_timeout).await {
                     Ok(found) => found,
                     Err(outcome) => return Ok(AttemptOutcome::end(outcome, no_report())),
                 };
@@ -197,7 +196,7 @@
                 guard.return_unused();
                 return Ok(AttemptOutcome::end(Outcome::NeverSent, no_report()));
             }
-            let target = (server, dial);
+            let target = (server, endpoint);
             let connection = AttemptConnection { guard, idle_time, matching };
             let response = match self.send(target, connection, request, gate, deadline).await {
                 Ok((active, head)) => self.own_head(active, head).await,
@@ -233,7 +232,7 @@
     /// Writes the request and reads the head of its answer.
     async fn send(
         &self,
-        (server, dial): (ServerId, SocketAddr),
+        (server, endpoint): (ServerId, Endpoint),
         connection: AttemptConnection,
         request: &Rc<AttemptRequest>,
         gate: &Gate,
@@ -255,7 +254,12 @@
         };
         let persistence = self.pool.borrow().persistence(server, matching, guard.is_used(), now);
         let mut head = Vec::new();
-        request.encoded.head_into(&mut head, remaining.as_millis() as u64, dial, persistence);
+        request.encoded.head_into(
+            &mut head,
+            remaining.as_millis() as u64,
+            endpoint.address,
+            persistence,
+        );
         let body = request.encoded.body_len();
         let mut exchange = Exchange::new(self.config.begins, head.len(), body, hold_back.is_some());
         if request.upload.is_some() {
--- a/crates/millethook-engine/src/upstream/connection.rs
+++ b/crates/millethook-engine/src/upstream/connection.rs
@@ -61,13 +61,23 @@
     }
 }
 
+/// Where a process of a server is reached. A process that takes over the address of another one has an endpoint of its
+/// own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Endpoint {
+    /// The address.
+    pub address: SocketAddr,
+    /// When the process started, as Unix time in milliseconds. 0: long ago.
+    pub born_ms: u64,
+}
+
 /// A connection. Dropping it closes it.
 pub(super) struct Connection {
     socket: TcpStream,
     shared: Rc<SharedIo>,
     /// Received bytes that are not yet consumed.
     pub buf: BytesMut,
-    dial: SocketAddr,
+    endpoint: Endpoint,
     carried_answers: CarriedAnswers,
     _permit: Permit,
 }
@@ -75,18 +85,19 @@
 impl Connection {
     /// Opens a connection within `connect_timeout`. Also returns how long the handshake took.
     pub async fn open(
-        dial: SocketAddr,
+        endpoint: Endpoint,
         permit: Permit,
         shared: Rc<SharedIo>,
         connect_timeout: Duration,
     ) -> Option<(Connection, Duration)> {
         let started = Instant::now();
-        let socket = timeout(connect_timeout, TcpStream::connect(dial)).await.ok()?.ok()?;
+        let socket =
+            timeout(connect_timeout, TcpStream::connect(endpoint.address)).await.ok()?.ok()?;
         let handshake_time = started.elapsed();
         socket.set_nodelay(true).ok()?;
         let (buf, carried_answers) = (BytesMut::new(), CarriedAnswers::default());
         Some((
-            Connection { socket, shared, buf, dial, carried_answers, _permit: permit },
+            Connection { socket, shared, buf, endpoint, carried_answers, _permit: permit },
             handshake_time,
         ))
     }
@@ -96,13 +107,13 @@
         !self.carried_answers.is_empty()
     }
 
-    /// Checks an idle connection right before its use; `dial` is the server's current address.
+    /// Checks an idle connection right before its use; `endpoint` is the server's current one.
     ///
     /// The server may have closed the connection, or sent unsolicited bytes, since the event loop last reported on
     /// it. Peeking at the socket itself is the most recent information there is.
-    pub fn check_idle(&self, dial: SocketAddr) -> SocketState {
-        if self.dial != dial {
-            return SocketState::AddressChanged;
+    pub fn check_idle(&self, endpoint: Endpoint) -> SocketState {
+        if self.endpoint != endpoint {
+            return SocketState::EndpointChanged;
         }
         self.shared.count(|calls| &mut calls.peeks);
         self.peek(|peek_socket| peek_socket())
--- a/crates/millethook-engine/src/upstream/mod.rs
+++ b/crates/millethook-engine/src/upstream/mod.rs
@@ -8,7 +8,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -31,8 +30,8 @@
 use crate::names::Names;
 
 pub use attempt::{AnswerHead, AttemptOutcome, AttemptRequest};
-pub use connection::SystemCalls;
 use connection::{Connection, ConnectionGuard, SharedIo};
+pub use connection::{Endpoint, SystemCalls};
 pub use gate::{Admission, Caller, Gate};
 pub use probe::TrialPage;
 pub use streaming::StreamingResponse;
@@ -219,7 +218,7 @@
     async fn connection(
         self: &Rc<Upstream>,
         server: ServerId,
-        dial: SocketAddr,
+        endpoint: Endpoint,
         matching: Matching,
         connect_timeout: Duration,
     ) -> Result<(ConnectionGuard, Option<Duration>), Outcome> {
@@ -236,7 +235,7 @@
             let found = if needs_new {
                 self.pool.borrow_mut().checkout_new(server)
             } else {
-                self.pool.borrow_mut().checkout(server, now, |c| c.check_idle(dial))
+                self.pool.borrow_mut().checkout(server, now, |c| c.check_idle(endpoint))
             };
             let quarantine_end = || {
                 let until = self.pool.borrow().quarantined_until(server);
@@ -244,7 +243,7 @@
             };
             let retry_at = match found {
                 Checkout::Reuse(connection, idle_time) => {
-                    self.open_spare_if_needed(server, dial);
+                    self.open_spare_if_needed(server, endpoint);
                     let guard = ConnectionGuard::new(self.clone(), server, connection);
                     return Ok((guard, Some(idle_time)));
                 }
@@ -260,9 +259,9 @@
                     };
                     match permit {
                         Some(permit) => {
-                            let opened = handshake.open(dial, permit, connect_timeout).await;
+                            let opened = handshake.open(endpoint, permit, connect_timeout).await;
                             let connection = opened.ok_or(Outcome::ConnectFailed)?;
-                            self.open_spare_if_needed(server, dial);
+                            self.open_spare_if_needed(server, endpoint);
                             let guard = ConnectionGuard::new(self.clone(), server, connection);
                             return Ok((guard, None));
                         }
@@ -340,7 +339,7 @@
     }
 
     /// Opens a connection in advance when the number of connections in use rises.
-    fn open_spare_if_needed(self: &Rc<Upstream>, server: ServerId, dial: SocketAddr) {
+    fn open_spare_if_needed(self: &Rc<Upstream>, server: ServerId, endpoint: Endpoint) {
         if self.config.limits.spare == 0 || !self.pool.borrow_mut().start_spare(server) {
             return;
         }
@@ -349,7 +348,7 @@
             let opened = match upstream.sockets.servers.try_acquire() {
                 Some(permit) => {
                     Connection::open(
-                        dial,
+                        endpoint,
                         permit,
                         upstream.shared.clone(),
                         upstream.config.connect_timeout,
@@ -379,12 +378,13 @@
 impl Handshake<'_> {
     async fn open(
         mut self,
-        dial: SocketAddr,
+        endpoint: Endpoint,
         permit: Permit,
         connect_timeout: Duration,
     ) -> Option<Connection> {
         let (connection, handshake_time) =
-            Connection::open(dial, permit, self.upstream.shared.clone(), connect_timeout).await?;
+            Connection::open(endpoint, permit, self.upstream.shared.clone(), connect_timeout)
+                .await?;
         self.handshake_time = Some(handshake_time);
         Some(connection)
     }
--- a/crates/millethook-engine/src/upstream/probe.rs
+++ b/crates/millethook-engine/src/upstream/probe.rs
@@ -1,6 +1,5 @@
 //! Probes of servers and trials of remembered servers.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -11,7 +10,7 @@
 use tokio::time::timeout;
 
 use super::attempt::{AttemptOutcome, AttemptRequest};
-use super::{Gate, Upstream};
+use super::{Endpoint, Gate, Upstream};
 
 /// How a server of an old list proves its identity.
 #[derive(Clone, Debug)]
@@ -22,12 +21,17 @@
     pub identity: Option<HeaderName>,
 }
 
+/// Where a listed server is reached, if the list tells.
+fn host_endpoint(host: &Host) -> Option<Endpoint> {
+    host.dial.map(|address| Endpoint { address, born_ms: host.born_ms })
+}
+
 impl Upstream {
     /// Asks a server for its health or its load report.
     pub async fn probe(
         self: &Rc<Upstream>,
         server: ServerId,
-        dial: SocketAddr,
+        endpoint: Endpoint,
         with_report: bool,
     ) -> (Outcome, LoadReport) {
         let path = Uri::from_static(if with_report { "/stats" } else { "/health/live" });
@@ -35,7 +39,7 @@
         let request = Rc::new(AttemptRequest::internal_get(&path, connect_timeout));
         let deadline = Instant::now() + connect_timeout;
         let gate = Gate::internal(deadline);
-        let attempt = self.attempt((server, dial), None, &request, gate, deadline);
+        let attempt = self.attempt((server, endpoint), None, &request, gate, deadline);
         let attempt = timeout(connect_timeout + Duration::from_secs(1), attempt).await;
         let Ok(AttemptOutcome::End { outcome, answer, .. }) = attempt else {
             return (Outcome::TimedOut, LoadReport::default());
@@ -53,12 +57,12 @@
     /// The address may belong to another program by now. The trial is a `GET` of a page without side effects, and no
     /// client's request is sent there before it has been answered.
     pub async fn identify(self: &Rc<Upstream>, host: &Host, trial: &TrialPage) -> TrialOutcome {
-        let Some(dial) = host.dial else { return TrialOutcome::Refused };
+        let Some(endpoint) = host_endpoint(host) else { return TrialOutcome::Refused };
         let (connect_timeout, started) = (self.config.connect_timeout, Instant::now());
         let request = Rc::new(AttemptRequest::internal_get(&trial.path, connect_timeout));
         let deadline = started + 2 * connect_timeout;
         let gate = Gate::internal(deadline);
-        let attempt = self.attempt((host.id(), dial), None, &request, gate, deadline);
+        let attempt = self.attempt((host.id(), endpoint), None, &request, gate, deadline);
         let Ok(AttemptOutcome::End { outcome, answer, .. }) =
             timeout(2 * connect_timeout, attempt).await
         else {
