Refuse new connections at once while all places have been taken for 0.1 s

Cause: each new connection waited 0.1 s for a place before it got a refusal. Some 160 others were in front, so those behind waited for seconds; a place that came free in between began the wait anew.

Change: the time without a place is counted over all connections, and a place now and then does not end it. Of the connections that are refused, the one that has been closing for longest makes room.

--- a/crates/millethook-http/src/ingress/eviction.rs
+++ b/crates/millethook-http/src/ingress/eviction.rs
@@ -1,5 +1,6 @@
 //! Eviction of client connections when client permits run short.
 
+use std::cell::Cell;
 use std::time::{Duration, Instant};
 
 use millethook_engine::budget::{Permit, Sockets};
@@ -23,7 +24,7 @@
 /// How long an evicted connection has to be closed by its client, before the next eviction closes it even over
 /// unread data. Under a flood of clients that ignore the close, at most 500 permits a second become free.
 const EVICTION_WAIT: Duration = Duration::from_millis(2);
-/// How long a new connection waits for the place of another one.
+/// How long all places have to be taken before new connections are refused.
 const ADMISSION_WAIT: Duration = Duration::from_millis(100);
 
 impl Client {
@@ -88,21 +89,51 @@
     }
 }
 
+/// A time in which new connections find no place. It is counted over all connections: otherwise each of many would
+/// wait in vain for the same requests to end.
+#[derive(Default)]
+pub(super) struct Shortage {
+    /// Its first and its last moment.
+    span: Cell<Option<(Instant, Instant)>>,
+}
+
+impl Shortage {
+    /// Records that a connection finds no place now. Returns how long that has been so; a place now and then does
+    /// not end it.
+    fn record(&self, now: Instant) -> Duration {
+        let current = self.span.get().filter(|(_, last)| now - *last < ADMISSION_WAIT);
+        let first = current.map_or(now, |(first, _)| first);
+        self.span.set(Some((first, now)));
+        now - first
+    }
+}
+
 impl Ingress {
     /// Waits until one more connection may be accepted. Without surplus connections, new clients would wait without
     /// an answer for as long as slow clients keep all permits.
     pub(super) async fn admit(&self) -> Admission {
         loop {
-            if let Ok(permit) = timeout(ADMISSION_WAIT, self.acquire_permit()).await {
+            if let Ok(permit) = self.sockets.clients.clone().try_acquire_owned() {
                 return Admission::Client(permit);
             }
-            if let Ok(permit) = self.sockets.closing.clone().try_acquire_owned() {
-                return Admission::Surplus(permit);
+            self.evict_one();
+            if self.shortage.record(Instant::now()) >= ADMISSION_WAIT {
+                if let Ok(permit) = self.sockets.closing.clone().try_acquire_owned() {
+                    return Admission::Surplus(permit);
+                }
+                self.evict_closing_surplus();
+            }
+            if let Some(permit) = self.permit_within(EVICTION_WAIT).await {
+                return Admission::Client(permit);
             }
-            self.evict_closing_surplus();
         }
     }
 
+    /// Acquires a client permit if one becomes free within `wait`.
+    async fn permit_within(&self, wait: Duration) -> Option<Permit> {
+        timeout(wait, self.sockets.clients.clone().acquire_owned()).await.ok()?.ok()
+    }
+
     /// Closes the surplus connection that has been closing for longest.
     fn evict_closing_surplus(&self) {
         let clients = self.clients.borrow();
@@ -119,12 +150,11 @@
     /// request in progress is evicted.
     pub(super) async fn acquire_permit(&self) -> Permit {
         loop {
-            let permits = self.sockets.clients.clone();
-            if let Ok(permit) = permits.clone().try_acquire_owned() {
+            if let Ok(permit) = self.sockets.clients.clone().try_acquire_owned() {
                 return permit;
             }
             self.evict_one();
-            if let Ok(Ok(permit)) = timeout(EVICTION_WAIT, permits.acquire_owned()).await {
+            if let Some(permit) = self.permit_within(EVICTION_WAIT).await {
                 return permit;
             }
         }
--- a/crates/millethook-http/src/ingress/mod.rs
+++ b/crates/millethook-http/src/ingress/mod.rs
@@ -31,7 +31,7 @@
 use crate::request_ids::RequestIdRegistry;
 
 use client::{Client, Phase, wait_for_close_request, wait_until_stalled};
-use eviction::Admission;
+use eviction::{Admission, Shortage};
 
 /// Pause before the next accept when the system has run out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
@@ -47,6 +47,7 @@
     ids: Rc<RequestIdRegistry>,
     clients: RefCell<HashMap<u64, Rc<Client>>>,
     accepted: Cell<(u64, Instant)>,
+    shortage: Shortage,
     /// During a shutdown, requests that are read completely only after this time are refused, because they
     /// might not be answered before the process is killed.
     request_cutoff: Cell<Option<Instant>>,
@@ -92,6 +93,7 @@
             bytes,
             clients: RefCell::default(),
             accepted: Cell::new((0, Instant::now())),
+            shortage: Shortage::default(),
             request_cutoff: Cell::default(),
             discovery_tried: Cell::new(false),
             edge: RefCell::default(),
