--- a/crates/plankvale/tests/sidecar/slow_servers.rs
+++ b/crates/plankvale/tests/sidecar/slow_servers.rs
@@ -38,22 +38,30 @@
     Close,
 }
 
-/// Writes the head, pauses, and writes the body in four parts with a pause in between.
-fn answer_with_pauses(conn: &mut Conn, framing: Framing, body: &[u8]) {
+/// Writes the head of an answer and the first bytes of its body, then pauses before each further part.
+fn answer_in_parts(
+    conn: &mut Conn,
+    framing: Framing,
+    body: &[u8],
+    sizes: (usize, usize),
+    pause: Duration,
+) {
     let field = match framing {
         Framing::Length => format!("Content-Length: {}", body.len()),
         Framing::Chunked => "Transfer-Encoding: chunked".to_owned(),
         Framing::Close => "Connection: close".to_owned(),
     };
-    conn.send(format!("HTTP/1.1 200 OK\r\n{field}\r\n\r\n"));
-    for part in body.chunks(body.len().div_ceil(4)) {
-        thread::sleep(PAUSE);
-        match framing {
-            Framing::Chunked => {
-                conn.send([format!("{:x}\r\n", part.len()).as_bytes(), part, b"\r\n"].concat());
-            }
-            Framing::Length | Framing::Close => conn.send(part),
-        }
+    let framed = |part: &[u8]| match framing {
+        Framing::Chunked if part.is_empty() => Vec::new(),
+        Framing::Chunked => [format!("{:x}\r\n", part.len()).as_bytes(), part, b"\r\n"].concat(),
+        Framing::Length | Framing::Close => part.to_vec(),
+    };
+    let (first, rest) = body.split_at(sizes.0);
+    let head = format!("HTTP/1.1 200 OK\r\n{field}\r\n\r\n");
+    conn.send([head.as_bytes(), &framed(first)].concat());
+    for part in rest.chunks(sizes.1) {
+        thread::sleep(pause);
+        conn.send(framed(part));
     }
     if matches!(framing, Framing::Chunked) {
         conn.send("0\r\n\r\n");
@@ -74,7 +82,7 @@
 fn answer_with_pauses_arrives_whole(class: &str, framing: Framing, length: usize) {
     let case = format!("{class} {framing:?} {length}");
     let (list, log, _) = servers(2, move |mut conn, _| {
-        answer_with_pauses(&mut conn, framing, &vec![b'a'; length]);
+        answer_in_parts(&mut conn, framing, &vec![b'a'; length], (0, length.div_ceil(4)), PAUSE);
         (!matches!(framing, Framing::Close)).then_some(conn)
     });
     let (sidecar, _agent) = Sidecar::with_servers(&list);
@@ -90,6 +98,86 @@
     assert_eq!(log.count(), 1, "{case}: attempts");
 }
 
+/// Sends a request to a server whose answer is written in parts, and checks that all of it arrives and that it begins
+/// in time.
+fn answer_beyond_its_time_arrives_whole(
+    request: &[u8],
+    framing: Framing,
+    length: usize,
+    (sizes, pause): ((usize, usize), Duration),
+) {
+    let case = format!("{framing:?}, {sizes:?} of {length} bytes, {pause:?}");
+    let (list, log, _) = servers(2, move |mut conn, _| {
+        answer_in_parts(&mut conn, framing, &vec![b'a'; length], sizes, pause);
+        (!matches!(framing, Framing::Close)).then_some(conn)
+    });
+    let (sidecar, _agent) = Sidecar::with_servers(&list);
+    let mut client = sidecar.client();
+    let sent = Instant::now();
+    client.send(request);
+    let head = client.head().expect("an answer");
+    let begun = sent.elapsed();
+    assert_eq!(head.status(), 200, "{case}");
+    assert!(begun < TIME_LEFT + LATE_ANSWER, "{case}: begun after {begun:?}");
+    let answer = client.rest_of(head);
+    assert!(answer.complete && answer.body.len() == length, "{case}: {}", answer.body.len());
+    assert!(log.count() <= 2, "{case}: {} attempts", log.count());
+}
+
+#[test]
+fn answers_that_pause_beyond_their_time_are_not_cut_off() {
+    let requests = [safe().into_bytes(), request("keep", b"body"), request("order", b"body")];
+    for framing in [Framing::Length, Framing::Chunked, Framing::Close] {
+        thread::scope(|scope| {
+            for (first, length) in [
+                (0, 500_usize),
+                (0, 130_000),
+                (2_000, 130_000),
+                (25_000, 130_000),
+                (20_000, 60_000),
+            ] {
+                for request in &requests {
+                    let parts = ((first, length.div_ceil(2)), TIME_LEFT + TIME_LEFT / 3);
+                    scope.spawn(move || {
+                        answer_beyond_its_time_arrives_whole(request, framing, length, parts);
+                    });
+                }
+            }
+        });
+    }
+}
+
+#[test]
+fn an_answer_without_a_length_is_passed_on_while_its_server_pauses() {
+    for framing in [Framing::Chunked, Framing::Close] {
+        let (list, log, _) = servers(2, move |mut conn, _| {
+            answer_in_parts(&mut conn, framing, &[b'a'; 50_000], (25_000, 25_000), TIME_LEFT / 2);
+            (!matches!(framing, Framing::Close)).then_some(conn)
+        });
+        let (sidecar, _agent) = Sidecar::with_servers(&list);
+        let (mut client, sent) = (sidecar.client(), Instant::now());
+        client.send(safe());
+        let head = client.head().expect("an answer");
+        assert!(sent.elapsed() < TIME_LEFT / 4, "{framing:?}: after {:?}", sent.elapsed());
+        assert!(client.rest_of(head).complete, "{framing:?}");
+        assert_eq!(log.count(), 1, "{framing:?}: attempts");
+    }
+}
+
+#[test]
+fn answers_to_long_requests_that_pause_beyond_their_time_are_not_cut_off() {
+    for length in [100_000, 3_000_000] {
+        let (list, _, _) = servers(1, move |mut conn, _| {
+            let pause = TIME_LEFT + TIME_LEFT / 3;
+            answer_in_parts(&mut conn, Framing::Length, &[b'a'; 2_000], (1_000, 1_000), pause);
+            Some(conn)
+        });
+        let (sidecar, _agent) = Sidecar::with_servers(&list);
+        let answer = sidecar.request(request("order", &vec![b'x'; length]));
+        assert_eq!((answer.status(), answer.body.len()), (200, 2_000), "{length}");
+    }
+}
+
 /// A server that takes this many bytes of each connection and then as many in each round of 100 ms as `per_round`
 /// says.
 fn slowly_reading_server(first: usize, per_round: usize) -> Server {
