Pass on a slow answer without a length while its server pauses

What callers saw: long answers of sound servers, chunked or ended by the connection, got 502 as the time of their request was up, or 503 and copies at up to five servers where the class is safe.

Cause: whether such an answer is slow (4 KiB have come, and an eighth of the aim has gone by) was asked in BufferedAnswer::read only as further bytes arrived. A first lump that came with the head was not slow yet; the server then paused, and nobody asked again until the time was up. A condition on time was looked at only when something else happened.

Change: the wait for the next bytes ends at that moment, too.

--- a/crates/millethook-engine/src/upstream/attempt/buffered.rs
+++ b/crates/millethook-engine/src/upstream/attempt/buffered.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use millethook_connect::answers::COMPARED_BODY_BYTES;
 use millethook_connect::{Event, ResponseHead};
+use tokio::time::sleep_until;
 
 use super::active::IncompleteAnswer;
 use super::body_buffer::BodyBuffer;
@@ -12,8 +13,8 @@
 
 /// Answers up to this size are read completely before their outcome is reported.
 pub const MAX_BUFFERED_BYTES: usize = 64 << 10;
-/// An answer without a length is passed on once this many bytes have arrived and they took longer than `aim /
-/// SLOW_AIM_DIVISOR`: it is probably a long answer whose first bytes the client waits for. Short and fast answers are
+/// An answer without a length is passed on once this many bytes have arrived and `aim / SLOW_AIM_DIVISOR` has gone by
+/// since its head: it is probably a long answer whose first bytes the client waits for. Short and fast answers are
 /// buffered to their end, because an answer that is being passed on cannot be retried elsewhere.
 const SLOW_ANSWER_MIN_BYTES: usize = COMPARED_BODY_BYTES;
 const SLOW_AIM_DIVISOR: u32 = 8;
@@ -47,23 +48,29 @@
             return Err(IncompleteAnswer);
         }
         let mut buffer = BodyBuffer::new(request.answer_budget.as_ref());
-        let (started, mut has_room) = (Instant::now(), true);
+        let slow_from = Instant::now() + request.aim / SLOW_AIM_DIVISOR;
+        let mut has_room = true;
         loop {
+            let may_be_slow = head.length.is_none() && buffer.len() >= SLOW_ANSWER_MIN_BYTES;
             let is_long = match head.length {
                 Some(length) => {
                     length > MAX_BUFFERED_BYTES as u64 && buffer.len() >= COMPARED_BODY_BYTES
                 }
                 None => {
-                    let is_slow = || started.elapsed() > request.aim / SLOW_AIM_DIVISOR;
                     buffer.len() > MAX_BUFFERED_BYTES
-                        || (buffer.len() >= SLOW_ANSWER_MIN_BYTES && is_slow())
+                        || (may_be_slow && Instant::now() >= slow_from)
                 }
             };
             // An answer for which there is no room is passed on at its client's pace.
             if is_long || (!has_room && buffer.len() >= COMPARED_BODY_BYTES) {
                 return Ok(BufferedAnswer::Prefix(buffer.take()));
             }
-            match active.event().await? {
+            let event = tokio::select! {
+                biased;
+                event = active.event() => event?,
+                () = sleep_until(slow_from.into()), if may_be_slow => continue,
+            };
+            match event {
                 Event::Data(piece) => has_room = buffer.push(piece),
                 Event::End => return Ok(BufferedAnswer::Complete(buffer.take())),
                 Event::Head(_) => return Err(IncompleteAnswer),
