Pass on an answer that has begun when its request's time is up

What callers saw: 502, or 503 where the class is safe, for answers that a sound server had begun and was still writing: the head alone, less than 4 KiB, answers under 64 KiB with a length, answers to long requests, under each framing.

Cause: the attempt and the decisions both ended a request at its time, whatever had come of its answer. An answer counted only once it was known to be long, by bytes that its server may still owe.

Evidence: by the records each connection is closed by the node 3 to 6 ms before the stated time, up to 0.78 s after the server's head.

Change: the driver reports an answer that has begun (Event::AnswerBegun) and one that is still arriving as the time is up (AnswerOverdue); the decisions say which attempt is passed on (Action::PassOn): one that has not paused, then the oldest; the next one if that attempt ends instead. Less than 4 KiB cannot be compared with earlier answers of the connection: then the head goes out, and the body waits until it can be, so that no byte of another answer is served. New counts: sidecar.answers.at_deadline (passed on so) and sidecar.answers.overdue (begun, and given up). What is asked of an attempt is a type of its own (AnswerProgress).

--- a/crates/coppercart/src/api.rs
+++ b/crates/coppercart/src/api.rs
@@ -131,6 +131,20 @@
         /// The index of the attempt, from 0.
         attempt: usize,
     },
+    /// The head of an answer that can be passed on has arrived, and its body has not arrived completely.
+    AnswerBegun {
+        /// The request.
+        id: RequestId,
+        /// The index of the attempt, from 0.
+        attempt: usize,
+    },
+    /// The client's time is up while an answer that has begun is still arriving.
+    AnswerOverdue {
+        /// The request.
+        id: RequestId,
+        /// The index of the attempt, from 0.
+        attempt: usize,
+    },
     /// An answer that has begun pauses for long. It may still be completed.
     AnswerPaused {
         /// The request.
@@ -227,6 +241,14 @@
         /// The index of the attempt, from 0.
         attempt: usize,
     },
+    /// Pass on the answer of an attempt as it arrives, beginning now. [`Event::FirstByte`] follows, or the end of the
+    /// attempt if there is nothing to pass on. Returned only after [`Event::AnswerBegun`].
+    PassOn {
+        /// The request.
+        id: RequestId,
+        /// The index of the attempt, from 0.
+        attempt: usize,
+    },
     /// Final answer: refused. A retry by the client is harmless.
     Refuse {
         /// The request.
--- a/crates/coppercart/src/decide/mod.rs
+++ b/crates/coppercart/src/decide/mod.rs
@@ -26,6 +26,7 @@
 mod servers;
 mod settings_update;
 mod shedding;
+mod slow_answers;
 mod subsets;
 mod timers;
 pub mod view;
@@ -111,6 +112,8 @@
     state: AttemptState,
     /// Whether the answer has begun to arrive.
     response_started: bool,
+    /// Whether the head of its answer has arrived, so that the answer can be passed on.
+    answer_begun: bool,
     /// Whether its answer has paused for long.
     answer_paused: bool,
 }
@@ -128,6 +131,8 @@
     ended: bool,
     /// A stream has begun: the deadline no longer applies, and no further attempt may be sent.
     streaming: bool,
+    /// The attempt that was asked to pass on its answer as the deadline passed.
+    passing_on: Option<usize>,
     attempts: SmallVec<[Attempt; 2]>,
 }
 
@@ -251,6 +256,8 @@
             Event::Servers { kind, entries } => self.apply_list(kind, entries, out),
             Event::Request(new) => self.on_request(new, out),
             Event::FirstByte { id, attempt } => self.on_first_byte(id, attempt, out),
+            Event::AnswerBegun { id, attempt } => self.on_answer_begun(id, attempt),
+            Event::AnswerOverdue { id, attempt } => self.on_answer_overdue(id, attempt, out),
             Event::AnswerPaused { id, attempt } => self.on_answer_paused(id, attempt, out),
             Event::Answer { id, attempt, server, outcome, latency, finished, report } => {
                 self.on_outcome(id, attempt, server, outcome, latency as f64, &report);
--- a/crates/coppercart/src/decide/requests.rs
+++ b/crates/coppercart/src/decide/requests.rs
@@ -41,6 +41,7 @@
                 attempt_limit: self.settings.limits.max_attempts,
                 ended: false,
                 streaming: false,
+                passing_on: None,
                 attempts: SmallVec::new(),
             },
         );
@@ -100,6 +101,10 @@
         if request.ended {
             return self.close_request(id, out);
         }
+        if request.passing_on == Some(attempt) && !request.streaming {
+            request.passing_on = None;
+            return self.on_deadline(id, out);
+        }
         // A stream has no deadline, so nothing else ends a request whose stream ended without being
         // served, for example cancelled as its first byte arrived. An open hedge does not keep such
         // a request past its deadline.
--- a/crates/coppercart/src/decide/rules.rs
+++ b/crates/coppercart/src/decide/rules.rs
@@ -37,6 +37,7 @@
         let limits = &self.settings.limits;
         if request.ended
             || request.streaming
+            || request.passing_on.is_some()
             || self.now >= request.deadline
             || request.attempts.len() >= request.attempt_limit
             || (request.in_flight() > 0 && !limits.may_duplicate)
@@ -90,6 +91,7 @@
             sent_at: now,
             state: AttemptState::InFlight,
             response_started: false,
+            answer_begun: false,
             answer_paused: false,
         };
         out.push(Action::Send {
--- a/crates/coppercart/src/decide/view/snapshot.rs
+++ b/crates/coppercart/src/decide/view/snapshot.rs
@@ -169,15 +169,15 @@
 
 impl Request {
     fn fingerprint(&self, hasher: &mut impl Hasher) {
-        let Request { class, key, work_ratio, deadline, attempt_limit, ended, streaming, attempts } =
-            self;
+        let Request { class, key, work_ratio, deadline, attempt_limit, ended, .. } = self;
+        let Request { streaming, passing_on, attempts, .. } = self;
         (class, key, work_ratio.to_bits(), deadline, attempt_limit, ended, streaming).hash(hasher);
-        attempts.len().hash(hasher);
+        (passing_on, attempts.len()).hash(hasher);
         for attempt in attempts {
             let Attempt { slot, server, zone, cell, sent_at, state, .. } = attempt;
-            let Attempt { response_started, answer_paused, .. } = attempt;
+            let Attempt { response_started, answer_begun, answer_paused, .. } = attempt;
             (slot, server, zone, cell, sent_at, *state as u8).hash(hasher);
-            (response_started, answer_paused).hash(hasher);
+            (response_started, answer_begun, answer_paused).hash(hasher);
         }
     }
 }
--- a/crates/coppercart/src/wire/reply.rs
+++ b/crates/coppercart/src/wire/reply.rs
@@ -51,6 +51,8 @@
                 let record: [u8; 10] = join(&id.0.to_le_bytes(), &index.to_le_bytes());
                 self.push(action::CANCEL, &record);
             }
+            // Follows only an event that the wire format does not have.
+            Action::PassOn { .. } => {}
             Action::Refuse { id, retry_after } => {
                 let record: [u8; 12] =
                     join(&id.0.to_le_bytes(), &wire_duration(*retry_after).to_le_bytes());
--- a/crates/coppercart/tests/it/decide/hedges.rs
+++ b/crates/coppercart/tests/it/decide/hedges.rs
@@ -239,3 +239,38 @@
         assert!(!cancelled, "{class}: the first attempt goes on");
     }
 }
+
+/// The time of a request is up while answers arrive: one that has not paused is passed on, then the oldest; the next
+/// one, if its attempt ends instead; and nothing is refused or failed before the last one has ended.
+#[test]
+fn an_answer_that_has_begun_is_passed_on_at_the_deadline() {
+    let servers: Vec<_> = (0..4).map(|n| server(2 * n)).collect();
+    let mut harness = Harness::new(settings(|_| {}), 5, &servers);
+    let (id, out) = harness.request(0);
+    let first = sent(&out).expect("sent");
+    harness.event(Event::AnswerBegun { id, attempt: 0 });
+    let out = harness.event(Event::AnswerPaused { id, attempt: 0 });
+    let second = sent(&out).expect("one more attempt");
+    harness.event(Event::AnswerBegun { id, attempt: 1 });
+    harness.now += 2 * S;
+    let passes_on = |out: &[Action]| {
+        out.iter().find_map(|action| match action {
+            Action::PassOn { attempt, .. } => Some(*attempt),
+            Action::Refuse { .. } | Action::Fail { .. } => Some(usize::MAX),
+            _ => None,
+        })
+    };
+    assert_eq!(passes_on(&harness.event(Event::AnswerOverdue { id, attempt: 0 })), Some(1));
+    assert_eq!(passes_on(&harness.event(Event::AnswerOverdue { id, attempt: 1 })), None);
+    let ended = |attempt, server| Event::Answer {
+        id,
+        attempt,
+        server,
+        outcome: Outcome::TimedOut,
+        latency: S,
+        finished: false,
+        report: LoadReport::default(),
+    };
+    assert_eq!(passes_on(&harness.event(ended(1, second))), Some(0));
+    assert_eq!(passes_on(&harness.event(ended(0, first))), Some(usize::MAX), "refused");
+}
--- a/crates/millethook-depth/src/model/simulation.rs
+++ b/crates/millethook-depth/src/model/simulation.rs
@@ -164,6 +164,7 @@
                 self.queue.add(at, ScheduledEvent::Timer(sidecar, token));
             }
             Action::Probe { .. }
+            | Action::PassOn { .. }
             | Action::CloseIdle { .. }
             | Action::Subscribe
             | Action::FetchList
--- a/crates/millethook-engine/src/driver/attempts.rs
+++ b/crates/millethook-engine/src/driver/attempts.rs
@@ -9,16 +9,18 @@
 use coppercart::api::{Event, LoadReport, Micros, Outcome, RequestId, ServerId};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::Driver;
 use super::request::{Reply, StreamingReply};
-use crate::figures::Disposition;
+use crate::figures::{Counter, Disposition};
 use crate::upload::Upload;
 use crate::upstream::{
     AnswerHead, AttemptOutcome, AttemptRequest, Endpoint, Gate, StreamingResponse,
 };
 
+/// How long an attempt may take to pass on an answer that has begun, once it is asked to.
+pub(super) const PASS_ON_TIMEOUT: Duration = Duration::from_millis(50);
 /// A server that pauses this long within an answer will not continue it.
 const SERVER_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -127,7 +129,10 @@
                     body_bound = true;
                     self.bind_body_to_attempt(id, attempt_index);
                 }
-                if attempt_request.take_pause(attempt_index) {
+                if result.is_pending() && attempt_request.progress.take_begin(attempt_index) {
+                    self.event(Event::AnswerBegun { id, attempt: attempt_index });
+                }
+                if attempt_request.progress.take_pause(attempt_index) {
                     self.event(Event::AnswerPaused { id, attempt: attempt_index });
                 }
                 result
@@ -137,6 +142,11 @@
                     Some(upload) => upload.wait_until_expired().await,
                     None => tokio::time::sleep_until(deadline.into()).await,
                 }
+                if attempt_request.progress.has_begun(attempt_index) {
+                    self.event(Event::AnswerOverdue { id, attempt: attempt_index });
+                    sleep(PASS_ON_TIMEOUT).await;
+                    self.figures.count(Counter::OverdueAnswers);
+                }
             };
             tokio::select! {
                 biased;
--- a/crates/millethook-engine/src/driver/mod.rs
+++ b/crates/millethook-engine/src/driver/mod.rs
@@ -26,7 +26,7 @@
 use tokio::task::spawn_local;
 
 use crate::discovery::DiscoveryCommand;
-use crate::figures::{Disposition, Figures};
+use crate::figures::{Counter, Disposition, Figures};
 use crate::fleet::Fleet;
 use crate::list_clock::ListClock;
 use crate::names::Names;
@@ -174,6 +174,14 @@
                     let _ = cancel.send(());
                 }
             }
+            Action::PassOn { id, attempt } => {
+                let state = self.state.borrow();
+                let request = state.requests.get(&id).and_then(|r| r.attempt_request.as_ref());
+                if let Some(request) = request {
+                    self.figures.count(Counter::AnswersAtDeadline);
+                    request.progress.request_pass_on(attempt);
+                }
+            }
             Action::Refuse { id, retry_after } => {
                 let retry_after = (retry_after > 0).then(|| Duration::from_micros(retry_after));
                 let may_have_run =
--- a/crates/millethook-engine/src/figures.rs
+++ b/crates/millethook-engine/src/figures.rs
@@ -47,16 +47,22 @@
     UploadsNotTaken,
     /// Answers that broke off, or were no valid answers.
     IncompleteAnswers,
+    /// Answers that were passed on before they were complete because their client's time was up.
+    AnswersAtDeadline,
+    /// Answers that had begun and were given up because their client's time was up.
+    OverdueAnswers,
 }
 
 impl Counter {
     /// All counters, in the order of their declaration.
-    pub const ALL: [Counter; 5] = [
+    pub const ALL: [Counter; 7] = [
         Counter::SurplusClients,
         Counter::EvictedClients,
         Counter::BodiesWithoutMemory,
         Counter::UploadsNotTaken,
         Counter::IncompleteAnswers,
+        Counter::AnswersAtDeadline,
+        Counter::OverdueAnswers,
     ];
 
     /// The name of its metric.
@@ -67,6 +73,8 @@
             Counter::BodiesWithoutMemory => "bodies.without_memory",
             Counter::UploadsNotTaken => "uploads.not_taken",
             Counter::IncompleteAnswers => "answers.incomplete",
+            Counter::AnswersAtDeadline => "answers.at_deadline",
+            Counter::OverdueAnswers => "answers.overdue",
         }
     }
 }
--- a/crates/millethook-engine/src/upstream/attempt/active.rs
+++ b/crates/millethook-engine/src/upstream/attempt/active.rs
@@ -175,12 +175,17 @@
                 return step;
             }
             if let Some(request) = self.request.upgrade() {
-                request.record_pause(self.gate.attempt);
+                request.progress.record_pause(self.gate.attempt);
             }
         }
         poll_fn(|cx| self.poll_step(cx)).await
     }
 
+    /// The index of the attempt among those of its request.
+    pub fn attempt(&self) -> usize {
+        self.gate.attempt
+    }
+
     /// Whether this attempt streams the body, so that no other attempt can send it.
     pub fn streams_body(&self) -> bool {
         self.body_stream.is_some()
--- a/crates/millethook-engine/src/upstream/attempt/buffered.rs
+++ b/crates/millethook-engine/src/upstream/attempt/buffered.rs
@@ -9,7 +9,7 @@
 
 use super::active::IncompleteAnswer;
 use super::body_buffer::BodyBuffer;
-use super::{ActiveRequest, AttemptRequest, MAX_ANSWER_BYTES};
+use super::{ActiveRequest, AttemptRequest, max_bytes};
 
 /// Answers up to this size are read completely before their outcome is reported.
 pub const MAX_BUFFERED_BYTES: usize = 64 << 10;
@@ -25,28 +25,33 @@
     Complete(Bytes),
     /// At least the first [`COMPARED_BODY_BYTES`] bytes of a long body.
     Prefix(Bytes),
+    /// Fewer bytes of a body that is passed on from now on.
+    Begun(Bytes),
 }
 
 impl BufferedAnswer {
     /// The buffered bytes of the body.
     pub(super) fn bytes(&self) -> &[u8] {
         match self {
-            BufferedAnswer::Complete(bytes) | BufferedAnswer::Prefix(bytes) => bytes,
+            BufferedAnswer::Complete(bytes)
+            | BufferedAnswer::Prefix(bytes)
+            | BufferedAnswer::Begun(bytes) => bytes,
         }
     }
 
-    /// Reads the body of an answer until it is complete, or is known to be long.
+    /// Reads the body of an answer until it is complete, is known to be long, or has to be passed on.
     pub(super) async fn read(
         active: &mut ActiveRequest,
         head: &ResponseHead,
         request: &AttemptRequest,
     ) -> Result<BufferedAnswer, IncompleteAnswer> {
-        let max_bytes = if request.streaming { u64::MAX } else { MAX_ANSWER_BYTES };
+        let max_bytes = max_bytes(request.streaming);
         // Rejects absurd lengths and endless answers: no body is longer than the protocol allows, and the memory is
         // kept for other answers.
         if head.length.is_some_and(|length| length > max_bytes) {
             return Err(IncompleteAnswer);
         }
+        let attempt = active.attempt();
         let mut buffer = BodyBuffer::new(request.answer_budget.as_ref());
         let slow_from = Instant::now() + request.aim / SLOW_AIM_DIVISOR;
         let mut has_room = true;
@@ -68,6 +73,9 @@
             let event = tokio::select! {
                 biased;
                 event = active.event() => event?,
+                () = request.progress.pass_on_requested(attempt) => {
+                    return Ok(BufferedAnswer::passed_on(buffer.take()));
+                }
                 () = sleep_until(slow_from.into()), if may_be_slow => continue,
             };
             match event {
@@ -77,4 +85,13 @@
             }
         }
     }
+
+    /// The buffered part of an answer that is not complete.
+    fn passed_on(bytes: Bytes) -> BufferedAnswer {
+        if bytes.len() >= COMPARED_BODY_BYTES {
+            BufferedAnswer::Prefix(bytes)
+        } else {
+            BufferedAnswer::Begun(bytes)
+        }
+    }
 }
--- a/crates/millethook-engine/src/upstream/attempt/mod.rs
+++ b/crates/millethook-engine/src/upstream/attempt/mod.rs
@@ -4,7 +4,9 @@
 mod body_buffer;
 mod buffered;
 mod matching;
+mod progress;
 mod request;
+mod unchecked;
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -25,13 +27,13 @@
 use crate::figures::Counter;
 use crate::upload::MAX_UPLOAD_BYTES;
 
-pub(super) use active::ActiveRequest;
-use active::IncompleteAnswer;
+pub(super) use active::{ActiveRequest, IncompleteAnswer};
 use buffered::BufferedAnswer;
 pub use buffered::MAX_BUFFERED_BYTES;
 use matching::{AnswerOrigin, MAX_SKIPPED_ANSWERS};
 pub use request::AttemptRequest;
 use request::HANDSHAKE_AIM_DIVISOR;
+pub(super) use unchecked::UncheckedBody;
 
 /// The longest answer that is passed on, the same limit as for request bodies. Streaming classes have no limit.
 /// Corrupt heads announce gigabytes, followed by garbage.
@@ -71,6 +73,11 @@
     }
 }
 
+/// The longest answer that is accepted.
+fn max_bytes(streaming: bool) -> u64 {
+    if streaming { u64::MAX } else { MAX_ANSWER_BYTES }
+}
+
 /// The connection of one attempt.
 struct AttemptConnection {
     guard: ConnectionGuard,
@@ -106,11 +113,9 @@
     ) -> AttemptOutcome {
         let body = match buffered {
             BufferedAnswer::Complete(body) => body,
-            BufferedAnswer::Prefix(prefix) => {
-                let max_bytes = if streaming { u64::MAX } else { MAX_ANSWER_BYTES };
-                let streaming_response =
-                    StreamingResponse::new(head, report, prefix, active, max_bytes);
-                return AttemptOutcome::Streaming(Box::new(streaming_response));
+            BufferedAnswer::Prefix(prefix) | BufferedAnswer::Begun(prefix) => {
+                let response = StreamingResponse::new(head, report, active, max_bytes(streaming));
+                return AttemptOutcome::Streaming(Box::new(response.with_prefix(prefix)));
             }
         };
         active.finish();
@@ -308,7 +313,7 @@
     /// Returns the fingerprint of an answer that equals an earlier one on its connection; the request may be
     /// repeated.
     async fn answer(
-        &self,
+        self: &Rc<Upstream>,
         mut active: ActiveRequest,
         mut head: ResponseHead,
         class: Option<usize>,
@@ -322,10 +327,17 @@
                 spawn_local(discard(active));
                 return Ok(AttemptOutcome::end(outcome, report));
             }
+            request.progress.record_begin(active.attempt());
             let Ok(buffered) = BufferedAnswer::read(&mut active, &head, request).await else {
                 self.figures.count(Counter::IncompleteAnswers);
                 return Ok(AttemptOutcome::end(Outcome::Reset, report));
             };
+            if let BufferedAnswer::Begun(bytes) = &buffered {
+                let body = UncheckedBody::new(self.clone(), class, head.status, bytes);
+                let response =
+                    StreamingResponse::new(head, report, active, max_bytes(request.streaming));
+                return Ok(AttemptOutcome::Streaming(Box::new(response.with_unchecked(body))));
+            }
             match self.answer_origin(&mut active, class, head.status, &buffered) {
                 AnswerOrigin::Own(answer) => {
                     // A connection that carried a duplicate is not reused.
--- a/crates/millethook-engine/src/upstream/attempt/request.rs
+++ b/crates/millethook-engine/src/upstream/attempt/request.rs
@@ -7,6 +7,7 @@
 use http::{HeaderMap, Method, Uri};
 use millethook_connect::EncodedRequest;
 
+use super::progress::AnswerProgress;
 use crate::budget::{ByteBudget, ByteReservation};
 use crate::upload::Upload;
 
@@ -34,28 +35,11 @@
     pub upload: Option<Upload>,
     /// The request has its answer, or its client has gone; no further attempt may begin.
     pub withdrawn: Cell<bool>,
-    /// The attempts whose answers have begun and paused for as long as the aim, as bits.
-    pub paused_attempts: Cell<u64>,
+    /// How far the answers to its attempts are.
+    pub progress: AnswerProgress,
 }
 
 impl AttemptRequest {
-    /// Records that the answer to an attempt has paused.
-    pub(super) fn record_pause(&self, attempt: usize) {
-        self.paused_attempts.set(self.paused_attempts.get() | AttemptRequest::bit(attempt));
-    }
-
-    /// Whether the answer to an attempt has paused since the last call.
-    pub fn take_pause(&self, attempt: usize) -> bool {
-        let (paused, bit) = (self.paused_attempts.get(), AttemptRequest::bit(attempt));
-        self.paused_attempts.set(paused & !bit);
-        paused & bit != 0
-    }
-
-    /// The bit of an attempt. Those beyond the last bit have none; their pauses are not reported.
-    fn bit(attempt: usize) -> u64 {
-        u32::try_from(attempt).ok().and_then(|attempt| 1u64.checked_shl(attempt)).unwrap_or(0)
-    }
-
     /// A `GET` of a page of the server itself, for a probe or a trial.
     pub(in crate::upstream) fn internal_get(
         path: &Uri,
@@ -71,7 +55,7 @@
             answer_budget: None,
             upload: None,
             withdrawn: Cell::default(),
-            paused_attempts: Cell::default(),
+            progress: AnswerProgress::default(),
         }
     }
 }
--- a/crates/millethook-http/src/answer.rs
+++ b/crates/millethook-http/src/answer.rs
@@ -44,7 +44,7 @@
         answer_budget: None,
         upload,
         withdrawn: Default::default(),
-        paused_attempts: Default::default(),
+        progress: Default::default(),
     }
 }
 
--- a/crates/millethook-model/src/fleet/driver.rs
+++ b/crates/millethook-model/src/fleet/driver.rs
@@ -59,8 +59,9 @@
                 self.queue
                     .schedule(self.now, ScheduledEvent::Call(self.sidecars[sidecar].instance));
             }
-            // The model has no connections and no datagrams.
+            // The model has no connections, no datagrams and no answers in parts.
             Action::Probe { .. }
+            | Action::PassOn { .. }
             | Action::CloseIdle { .. }
             | Action::Tell { .. }
             | Action::Log { .. } => {}
