--- a/crates/plankvale/tests/conformance/outcomes.rs
+++ b/crates/plankvale/tests/conformance/outcomes.rs
@@ -97,11 +97,11 @@
 
 fn an_unsafe_request_that_may_have_run_is_not<F: Form>() -> Vec<Record> {
     let records = ambiguous_faults().map(|fault| {
+        // Only its end tells a truncated answer from a slow one.
+        let is_truncated = matches!(fault, Fault::StalledBody);
         let group = first_request_meets(fault);
         let record =
             Record::without_server(send_all::<F>(&group, [ClientRequest::at_most_once()]), &group);
-        // Only its end tells a truncated answer from a slow one.
-        let is_truncated = matches!(fault, Fault::StalledBody);
         let expected = if is_truncated { Outcome::Incomplete } else { Outcome::Failed };
         assert_eq!((record.outcomes.as_slice(), record.attempts()), (&[expected][..], 1));
         record
