Send one attempt at most beside answers that pause

Cause: each pause of the newest attempt asked for one more, up to the retry budget. A copy is made for a truncated answer or a server that hangs; two in a row say that answers of this kind pause.

Change: the first pause of a request's answers sends another attempt, later ones none.

--- a/crates/coppercart/src/decide/slow_answers.rs
+++ b/crates/coppercart/src/decide/slow_answers.rs
@@ -26,9 +26,14 @@
         attempt: usize,
         out: &mut Vec<Action>,
     ) {
-        let request = self.requests.get_mut(&id);
-        let Some(paused) = request.and_then(|r| r.attempts.get_mut(attempt)) else { return };
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        // Where the answers of two servers pause, a third one would most likely pause, too.
+        let is_first = !request.attempts.iter().any(|a| a.answer_paused);
+        let Some(paused) = request.attempts.get_mut(attempt) else { return };
         paused.answer_paused = true;
+        if !is_first {
+            return;
+        }
         // The pause itself makes the server look late, so lateness says nothing here. The retry budget
         // bounds these attempts, as it does those after a failure.
         let is_lost = |a: &Attempt| a.answer_paused || a.state != AttemptState::InFlight;
--- a/crates/coppercart/tests/it/decide/hedges.rs
+++ b/crates/coppercart/tests/it/decide/hedges.rs
@@ -237,6 +237,9 @@
         assert_eq!(sent(&out).is_some_and(|server| server != first), is_hedged, "{class}");
         let cancelled = out.iter().any(|a| matches!(a, Action::Cancel { .. }));
         assert!(!cancelled, "{class}: the first attempt goes on");
+        let out =
+            harness.event(Event::AnswerPaused { id: paused, attempt: usize::from(is_hedged) });
+        assert_eq!(sent(&out), None, "{class}: one attempt beside pauses");
     }
 }
 
