Do not take a server's pause for a client that does not read

What callers saw: an answer that was being passed on broke off 5 s after its server's last bytes.

Cause: a client's connection was closed 5 s after bytes were last written to it while an answer was out, whether or not there were any to write: a limit on one side that was measured by the other one.

Change: the time runs from when the system accepts no more bytes of the answer. A server's silence is bounded by the 10 s of the driver as before.

Measured: a_long_answer_that_pauses_for_seconds_... failed before (100000 of 130000 bytes, cut after 5.1 s) and passes; slow_servers, memory, clients and framing: 48 passed.

--- a/crates/millethook-engine/src/stream.rs
+++ b/crates/millethook-engine/src/stream.rs
@@ -19,6 +19,8 @@
     fn on_drained(&self) {}
     /// The system accepted these bytes.
     fn on_write(&self, _bytes: &[u8]) {}
+    /// The system accepts no bytes for now: the peer reads more slowly than is written.
+    fn on_write_blocked(&self) {}
     /// Nothing is left to be written.
     fn on_flush(&self) {}
 }
@@ -36,6 +38,16 @@
     }
 }
 
+impl<O: Observer> Stream<O> {
+    fn poll_writable(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let writable = self.socket.poll_write_ready(cx);
+        if writable.is_pending() {
+            self.observer.on_write_blocked();
+        }
+        writable
+    }
+}
+
 impl<O: Observer> AsyncRead for Stream<O> {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -64,7 +76,7 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.socket.poll_write_ready(cx))?;
+            ready!(self.poll_writable(cx))?;
             match self.socket.try_write(buf) {
                 Ok(n) => {
                     self.observer.on_write(&buf[..n]);
@@ -82,7 +94,7 @@
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.socket.poll_write_ready(cx))?;
+            ready!(self.poll_writable(cx))?;
             match self.socket.try_write_vectored(bufs) {
                 Ok(n) => {
                     let mut rest = n;
--- a/crates/millethook-http/src/ingress/client.rs
+++ b/crates/millethook-http/src/ingress/client.rs
@@ -81,6 +81,8 @@
     /// When the current phase began, and when bytes were last transferred.
     pub phase_since: Cell<Instant>,
     pub last_transfer: Cell<Instant>,
+    /// Since when the system has accepted no byte of an answer, because the client does not read.
+    write_blocked_since: Cell<Option<Instant>>,
     pub close_request: Notify,
     /// The id of the request that is being read or answered.
     pub request_id: RefCell<Option<IdReservation>>,
@@ -108,6 +110,7 @@
             head_scan: RefCell::default(),
             phase_since: Cell::new(now),
             last_transfer: Cell::new(now),
+            write_blocked_since: Cell::new(None),
             close_request: Notify::new(),
             request_id: RefCell::default(),
             socket: RefCell::default(),
@@ -144,8 +147,7 @@
     }
 
     pub fn is_stalled(&self) -> bool {
-        let (since_transfer, in_phase) =
-            (self.last_transfer.get().elapsed(), self.phase_since.get().elapsed());
+        let in_phase = self.phase_since.get().elapsed();
         if self.is_surplus.get() && !self.has_request() && in_phase > SURPLUS_TIMEOUT {
             return true;
         }
@@ -155,7 +157,11 @@
                 in_phase > if self.was_answered() { IDLE_TIMEOUT } else { FIRST_BYTE_TIMEOUT }
             }
             Phase::ReadingHead => in_phase > HEAD_TIMEOUT,
-            Phase::WritingAnswer => since_transfer > WRITE_STALL_TIMEOUT,
+            // While its server pauses, there is nothing for the client to read.
+            Phase::WritingAnswer => {
+                let blocked_since = self.write_blocked_since.get();
+                blocked_since.is_some_and(|since| since.elapsed() > WRITE_STALL_TIMEOUT)
+            }
         }
     }
 }
@@ -229,9 +235,16 @@
 
     fn on_write(&self, _bytes: &[u8]) {
         self.has_written.set(true);
+        self.write_blocked_since.set(None);
         self.last_transfer.set(Instant::now());
     }
 
+    fn on_write_blocked(&self) {
+        if self.write_blocked_since.get().is_none() {
+            self.write_blocked_since.set(Some(Instant::now()));
+        }
+    }
+
     fn on_flush(&self) {
         if self.answer_complete.replace(false) && self.phase.get() == Phase::WritingAnswer {
             self.answer_count.set(self.answer_count.get().saturating_add(1));
--- a/crates/plankvale/tests/sidecar/slow_servers.rs
+++ b/crates/plankvale/tests/sidecar/slow_servers.rs
@@ -164,6 +164,18 @@
     }
 }
 
+#[test]
+fn a_long_answer_that_pauses_for_seconds_is_not_taken_for_a_client_that_does_not_read() {
+    let (pause, body) = (Duration::from_secs(6), [b'a'; 130_000]);
+    let (list, _, _) = servers(1, move |mut conn, _| {
+        answer_in_parts(&mut conn, Framing::Length, &body, (100_000, 30_000), pause);
+        Some(conn)
+    });
+    let (sidecar, _agent) = Sidecar::with_servers(&list);
+    let answer = sidecar.request(safe());
+    assert!(answer.complete, "{} of {} bytes", answer.body.len(), body.len());
+}
+
 #[test]
 fn answers_to_long_requests_that_pause_beyond_their_time_are_not_cut_off() {
     for length in [100_000, 3_000_000] {
