Reset answers that only the connection's end delimits when a planned end cuts them off

What callers saw: an HTTP/1.0 client whose long answer was still arriving 0.6 s after the longest deadline behind SIGTERM got an orderly end, and took the part for the whole answer.

Cause: a connection that is served to its end is closed by close(), which resets such answers; the end of the process closes the others' sockets by itself, which is an orderly end.

Change: the planned end, and the hand-over to a successor, set the connections of such answers to be reset as they are closed.

--- a/crates/millethook-http/src/ingress/client.rs
+++ b/crates/millethook-http/src/ingress/client.rs
@@ -174,6 +174,13 @@
         }
     }
 
+    /// Makes the close of the connection a reset.
+    pub fn reset_on_close(&self) {
+        if let Some(socket) = self.socket.borrow().upgrade() {
+            let _ = SockRef::from(&*socket).set_linger(Some(Duration::ZERO));
+        }
+    }
+
     /// Whether the connection has failed, as after a reset. Asks the system, because the event loop may not have
     /// reported it yet.
     pub fn has_failed(&self) -> bool {
--- a/crates/millethook-http/src/ingress/close.rs
+++ b/crates/millethook-http/src/ingress/close.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use millethook_engine::stream;
-use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
@@ -32,7 +31,7 @@
     if close_delimited {
         // The answer has neither a length nor chunked framing, so the client would take an orderly close
         // for the end of a complete answer.
-        let _ = SockRef::from(socket).set_linger(Some(Duration::ZERO));
+        client.reset_on_close();
         return;
     }
     // A client that was sent nothing has no answer to lose. Without this, silent clients keep their permits
--- a/crates/millethook-http/src/ingress/mod.rs
+++ b/crates/millethook-http/src/ingress/mod.rs
@@ -177,6 +177,16 @@
         }
     }
 
+    /// Lets the end of this process reset the connections on which an answer is being written that only the
+    /// end of the connection delimits: an orderly end would make the part that was written look complete.
+    pub fn reset_unfinished_answers(&self) {
+        for client in self.clients.borrow().values() {
+            if client.is_writing_close_delimited() {
+                client.reset_on_close();
+            }
+        }
+    }
+
     /// Accepts clients for as long as the future is polled.
     pub async fn accept(self: Rc<Ingress>, listener: TcpListener) {
         loop {
--- a/crates/plankvale/src/shutdown.rs
+++ b/crates/plankvale/src/shutdown.rs
@@ -41,6 +41,7 @@
         if ingress.unfinished_connections(MIN_READ_AFTER_CLOSE) == 0 && !coming
             || signal.elapsed() >= longest_deadline + DEADLINE_MARGIN
         {
+            ingress.reset_unfinished_answers();
             return;
         }
         sleep(POLL_INTERVAL).await;
@@ -60,4 +61,5 @@
         ingress.close_idle(signal.elapsed() >= REQUEST_CUTOFF);
         sleep(POLL_INTERVAL).await;
     }
+    ingress.reset_unfinished_answers();
 }
--- a/crates/plankvale/tests/sidecar/slow_servers.rs
+++ b/crates/plankvale/tests/sidecar/slow_servers.rs
@@ -190,6 +190,22 @@
     }
 }
 
+#[test]
+fn an_answer_without_a_length_that_a_planned_end_cuts_off_is_reset() {
+    let (list, _, _) = servers(1, |mut conn, _| {
+        let pause = Duration::from_secs(8);
+        answer_in_parts(&mut conn, Framing::Chunked, &[b'a'; 200_000], (100_000, 100_000), pause);
+        Some(conn)
+    });
+    let (sidecar, _agent) = Sidecar::with_servers(&list);
+    let mut client = sidecar.client();
+    client.send(safe().replace("HTTP/1.1", "HTTP/1.0"));
+    assert!(client.has_next_message(), "the answer begins");
+    sidecar.terminate();
+    let end = client.socket.read_to_end(&mut Vec::new());
+    assert!(end.is_err(), "an orderly end of a part: {end:?}");
+}
+
 /// A server that takes this many bytes of each connection and then as many in each round of 100 ms as `per_round`
 /// says.
 fn slowly_reading_server(first: usize, per_round: usize) -> Server {
