Log failed requests, failed attempts and answers that are passed on at the deadline

The records of the incident held no line about a single request: why an attempt was ended, and how far its answer was, had to be derived from the times of its server and its client.

--- a/crates/millethook-engine/src/driver/attempts.rs
+++ b/crates/millethook-engine/src/driver/attempts.rs
@@ -12,6 +12,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::Driver;
+use super::log::{AnswerState, AttemptFailure};
 use super::request::{Reply, StreamingReply};
 use crate::figures::{Counter, Disposition};
 use crate::upload::Upload;
@@ -157,19 +158,29 @@
             }
         };
         let latency = elapsed(&attempt_request);
+        let answer = match attempt_request.progress.has_begun(attempt_index) {
+            true => AnswerState::Begun,
+            false => AnswerState::NotBegun,
+        };
         drop(attempt_request);
         match result {
-            AttemptOutcome::End { outcome, report, answer } => {
+            AttemptOutcome::End { outcome, report, answer: served } => {
+                let address = endpoint.address;
+                let failure = AttemptFailure { address, outcome, answer, latency };
+                self.log_failed_attempt(id, attempt_index, &failure);
                 if outcome != Outcome::Served {
                     // Without this, requests that failed while this process was paused are retried with an outdated
                     // server list.
                     self.wait_for_current_list().await;
                 }
-                self.attempt_ended(id, attempt_index, server, outcome, latency, report, answer);
+                self.attempt_ended(id, attempt_index, server, outcome, latency, report, served);
             }
             AttemptOutcome::Streaming(response) => {
                 let report = response.report.clone();
                 let outcome = self.stream_answer(id, attempt_index, *response).await;
+                let (address, answer) = (endpoint.address, AnswerState::PassedOn);
+                let failure = AttemptFailure { address, outcome, answer, latency };
+                self.log_failed_attempt(id, attempt_index, &failure);
                 self.attempt_ended(id, attempt_index, server, outcome, latency, report, None);
             }
         }
--- a/crates/millethook-engine/src/driver/mod.rs
+++ b/crates/millethook-engine/src/driver/mod.rs
@@ -2,6 +2,7 @@
 //! returns is executed here, in order. No other module decides about servers, retries or refusals.
 
 mod attempts;
+mod log;
 mod membership;
 mod pauses;
 mod reachability;
@@ -29,6 +30,7 @@
 use crate::figures::{Counter, Disposition, Figures};
 use crate::fleet::Fleet;
 use crate::list_clock::ListClock;
+use crate::log_limit::LogLimit;
 use crate::names::Names;
 use crate::sinks::PeerSender;
 use crate::upstream::{Admission, AttemptRequest, Caller, Endpoint, SystemCalls, Upstream};
@@ -83,6 +85,7 @@
     first_list: Notify,
     list_clock: Rc<ListClock>,
     figures: Rc<Figures>,
+    log_limit: LogLimit,
 }
 
 /// What an engine has in progress and holds.
@@ -140,6 +143,7 @@
             first_list: Notify::new(),
             list_clock: Rc::default(),
             figures,
+            log_limit: LogLimit::default(),
         });
         spawn_local(driver.clone().run_timers());
         driver
@@ -180,6 +184,7 @@
                 if let Some(request) = request {
                     self.figures.count(Counter::AnswersAtDeadline);
                     request.progress.request_pass_on(attempt);
+                    self.log_answer_at_deadline(id, attempt);
                 }
             }
             Action::Refuse { id, retry_after } => {
--- a/crates/millethook-engine/src/lib.rs
+++ b/crates/millethook-engine/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod fleet;
 pub mod leases;
 pub mod list_clock;
+pub mod log_limit;
 pub mod membership_store;
 pub mod memory;
 pub mod names;
--- a/crates/millethook-http/src/ingress/serve.rs
+++ b/crates/millethook-http/src/ingress/serve.rs
@@ -10,7 +10,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{self, HeaderValue};
 use hyper::{Request, Response, StatusCode, Version};
-use millethook_engine::driver::{Reply, RequestHead};
+use millethook_engine::driver::{Reply, RequestHead, Ticket};
 use millethook_engine::figures::Counter;
 use millethook_engine::memory::CLIENT_BODY_BYTES;
 use millethook_engine::upload::{MAX_UPLOAD_BYTES, Upload, UploadError};
@@ -114,6 +114,7 @@
         let Some(reservation) = self.ids.reserve(id.as_bytes()) else {
             return Ok(Err(StatusCode::CONFLICT));
         };
+        let correlation_id: Rc<str> = id.into();
         let id = reservation.id();
         client.request_id.replace(Some(reservation));
         // Without this, the process that takes over could accept a request with the same id on one of its
@@ -186,6 +187,7 @@
                             self.driver.request_of(caller, request_head, attempt_request);
                         drop(names);
                         let reply = ticket.reply().await;
+                        self.log_reply(&reply, &ticket, &correlation_id);
                         let never_ran = matches!(reply, Reply::Refused { may_have_run: false, .. });
                         match candidate.filter(|(edge, candidate)| {
                             never_ran && edge.should_store_refused(candidate)
@@ -229,7 +231,10 @@
             tokio::select! {
                 biased;
                 // The request was refused, or a server answered without reading the rest.
-                reply = ticket.reply() => return Ok(Ok(Answered::Reply(reply))),
+                reply = ticket.reply() => {
+                    self.log_reply(&reply, &ticket, &correlation_id);
+                    return Ok(Ok(Answered::Reply(reply)));
+                }
                 forwarded = forwarding => forwarded,
             }
         };
@@ -237,14 +242,24 @@
             Err(ForwardError::Read(e)) => read_error_status(e).map(Err),
             Err(ForwardError::NotTaken(UploadError::Stalled)) => {
                 self.driver.figures().count(Counter::UploadsNotTaken);
-                Ok(Ok(Answered::Reply(Reply::Failed)))
+                let reply = Reply::Failed;
+                self.log_reply(&reply, &ticket, &correlation_id);
+                Ok(Ok(Answered::Reply(reply)))
             }
             // The reply tells why the server no longer takes the body.
             Ok(()) | Err(ForwardError::NotTaken(UploadError::Closed)) => {
-                Ok(Ok(Answered::Reply(ticket.reply().await)))
+                let reply = ticket.reply().await;
+                self.log_reply(&reply, &ticket, &correlation_id);
+                Ok(Ok(Answered::Reply(reply)))
             }
         }
     }
+
+    fn log_reply(&self, reply: &Reply, ticket: &Ticket, correlation_id: &str) {
+        if matches!(reply, Reply::Failed) {
+            self.driver.log_failed_request(ticket, correlation_id);
+        }
+    }
 }
 
 /// Status for a body that could not be read, if the client can still be answered.
