Pass on an early answer whose request is not read by its server in time

What callers saw, with servers that start at the head: 502 for a long request that its server answers without reading it to the end, if that answer takes longer than the client's time.

Change: as the time is up, the attempt that has the body is asked to pass on what has come.

--- a/crates/millethook-engine/src/driver/attempts.rs
+++ b/crates/millethook-engine/src/driver/attempts.rs
@@ -198,6 +198,21 @@
         }
     }
 
+    /// Reports that a request's time is up although its body is not sent. Returns whether its answer has begun.
+    pub(super) fn upload_overdue(self: &Rc<Driver>, id: RequestId) -> bool {
+        let begun = {
+            let state = self.state.borrow();
+            state.requests.get(&id).and_then(|request| {
+                let (attempt, sent) = request.uploading.zip(request.attempt_request.as_ref())?;
+                sent.progress.has_begun(attempt).then_some(attempt)
+            })
+        };
+        if let Some(attempt) = begun {
+            self.event(Event::AnswerOverdue { id, attempt });
+        }
+        begun.is_some()
+    }
+
     /// Passes a long answer on as it arrives, at the client's pace.
     async fn stream_answer(
         self: &Rc<Driver>,
--- a/crates/millethook-engine/src/driver/request.rs
+++ b/crates/millethook-engine/src/driver/request.rs
@@ -6,8 +6,10 @@
 use bytes::Bytes;
 use coppercart::api::{Micros, RequestId};
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
 
 use super::Driver;
+use super::attempts::PASS_ON_TIMEOUT;
 use crate::upstream::{AnswerHead, AttemptRequest, Caller};
 
 /// Properties of a client's request.
@@ -73,6 +75,15 @@
     pub async fn reply(&mut self) -> Reply {
         (&mut self.reply).await.unwrap_or(Reply::Failed)
     }
+
+    /// Ends a request whose time is up while its body is still being sent: an answer that has begun is passed on,
+    /// and otherwise the request has failed.
+    pub async fn overdue_reply(&mut self) -> Reply {
+        if !self.driver.upload_overdue(self.id) {
+            return Reply::Failed;
+        }
+        timeout(PASS_ON_TIMEOUT, self.reply()).await.unwrap_or(Reply::Failed)
+    }
 }
 
 impl Drop for Ticket {
--- a/crates/millethook-http/src/ingress/serve.rs
+++ b/crates/millethook-http/src/ingress/serve.rs
@@ -242,7 +242,7 @@
             Err(ForwardError::Read(e)) => read_error_status(e).map(Err),
             Err(ForwardError::NotTaken(UploadError::Stalled)) => {
                 self.driver.figures().count(Counter::UploadsNotTaken);
-                let reply = Reply::Failed;
+                let reply = ticket.overdue_reply().await;
                 self.log_reply(&reply, &ticket, &correlation_id);
                 Ok(Ok(Answered::Reply(reply)))
             }
--- a/crates/plankvale/tests/sidecar/slow_servers.rs
+++ b/crates/plankvale/tests/sidecar/slow_servers.rs
@@ -190,6 +190,28 @@
     }
 }
 
+#[test]
+fn an_early_answer_to_a_request_that_its_server_does_not_read_is_not_cut_off() {
+    let server = Server::start(move |mut conn| {
+        if conn.head().is_some() {
+            let pause = TIME_LEFT + TIME_LEFT / 3;
+            answer_in_parts(&mut conn, Framing::Length, &[b'a'; 2_000], (1_000, 1_000), pause);
+            conn.body(20_000_000);
+        }
+    });
+    let agent = Agent::start(hosts(&[server]));
+    let sidecar = Sidecar::start(&config(agent.address, |c| c["begins"] = "head".into()));
+    let mut client = sidecar.client();
+    let mut socket = client.socket.try_clone().unwrap();
+    thread::spawn(move || {
+        use std::io::Write;
+        let _ = socket.write_all(&chunked_request("order", &vec![b'x'; 20_000_000]));
+    });
+    let answer = client.message().expect("an answer");
+    assert_eq!((answer.status(), answer.body.len()), (200, 2_000));
+    sidecar.wait_for_log("answer_at_deadline");
+}
+
 #[test]
 fn an_answer_without_a_length_that_a_planned_end_cuts_off_is_reset() {
     let (list, _, _) = servers(1, |mut conn, _| {
