--- a/crates/millethook-http/src/ingress/serve.rs
+++ b/crates/millethook-http/src/ingress/serve.rs
@@ -242,7 +242,8 @@
             Err(ForwardError::Read(e)) => read_error_status(e).map(Err),
             Err(ForwardError::NotTaken(UploadError::Stalled)) => {
                 self.driver.figures().count(Counter::UploadsNotTaken);
-                let reply = ticket.overdue_reply().await;
+                // On the heap, so that it is no part of every connection's task.
+                let reply = Box::pin(ticket.overdue_reply()).await;
                 self.log_reply(&reply, &ticket, &correlation_id);
                 Ok(Ok(Answered::Reply(reply)))
             }
