Leave three percent more of the memory limit to the allocator

Cause: the plan left 25 percent of what the program does not take to freed memory that the allocator keeps.

Change: 28 percent, at the price of buffered bodies and answers.

--- a/crates/millethook-engine/src/memory.rs
+++ b/crates/millethook-engine/src/memory.rs
@@ -3,8 +3,8 @@
 
 /// The program with its lists and tables.
 const PROGRAM_BYTES: usize = 10 << 20;
-/// The part of the rest that is not planned, as a divisor: freed memory that the allocator keeps.
-const ALLOCATOR_DIVISOR: usize = 4;
+/// The part of the rest that is not planned, in percent: freed memory that the allocator keeps.
+const ALLOCATOR_PERCENT: usize = 28;
 /// The part of the rest that client connections may take, in percent.
 const CLIENTS_PERCENT: usize = 55;
 /// The first bytes of a client's body. They are not charged to the [`ByteBudget`](crate::budget::ByteBudget).
@@ -49,7 +49,7 @@
             .clamp(MIN_CLIENT_BUFFER_BYTES, MAX_CLIENT_BUFFER_BYTES);
         let client_bytes = CLIENT_STATE_BYTES + BUFFERS_PER_CLIENT * client_buffer_bytes;
         let max_clients = wanted_clients.min(for_clients / client_bytes).max(1);
-        let planned = max_clients * client_bytes + available / ALLOCATOR_DIVISOR;
+        let planned = max_clients * client_bytes + available / 100 * ALLOCATOR_PERCENT;
         MemoryPlan {
             max_clients,
             client_buffer_bytes,
